--- /dev/null
+++ b/core/frame/frame.go
@@ -0,0 +1,175 @@
+// Package frame lays out the datagrams between balancers and agents: a fixed
+// header and the caller's QUIC packet, unchanged.
+package frame
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"lagoondrum/core/lists"
+)
+
+// Kind says what a datagram is for.
+type Kind uint8
+
+// The kinds of datagrams.
+const (
+	ForwardKind Kind = 1 + iota // A caller's packet on its way to an agent.
+	ReturnKind                  // An agent's packet on its way to a caller.
+	DetourKind                  // A caller's packet that another balancer is to forward.
+	PingKind                    // A balancer's question whether an agent hears it.
+	PongKind                    // The agent's answer.
+)
+
+// Flag is one bit of a header.
+type Flag uint8
+
+// The flags of a header.
+const (
+	FirstFlag   Flag = 1 << iota // The packet may open a flow, and its target is a choice.
+	PassedFlag                   // An agent passed the packet on, and no other may.
+	HopFlag                      // Another balancer forwarded the packet already.
+	LeavingFlag                  // The sending agent takes no new flows.
+)
+
+// HeaderBytes is the length of the fixed header.
+const HeaderBytes = 26
+
+// Header is the fixed header. Which fields count depends on the kind.
+type Header struct {
+	kind    Kind
+	flags   Flag
+	load    Load
+	caller  netip.AddrPort
+	address netip.Addr
+	service lists.ServiceID
+	agent   netip.AddrPort
+}
+
+// Forward returns the header of a caller's packet for an agent. For a first
+// flight, second is the other choice and load the last load heard from it.
+func Forward(caller netip.AddrPort, address netip.Addr, service lists.ServiceID) Header {
+	return Header{kind: ForwardKind, caller: caller, address: address, service: service}
+}
+
+// Return returns the header of an agent's packet for a caller.
+func Return(caller netip.AddrPort, address netip.Addr, load Load, leaving bool) Header {
+	hdr := Header{kind: ReturnKind, caller: caller, address: address, load: load}
+	return hdr.withFlag(LeavingFlag, leaving)
+}
+
+// Ping returns the header of a balancer's question.
+func Ping() Header { return Header{kind: PingKind} }
+
+// Pong returns the header of an agent's answer to a ping.
+func Pong(load Load, leaving bool) Header {
+	hdr := Header{kind: PongKind, load: load}
+	return hdr.withFlag(LeavingFlag, leaving)
+}
+
+// WithSecond returns the header with the other choice for a first flight.
+func (hdr Header) WithSecond(second netip.AddrPort, load Load) Header {
+	hdr.flags |= FirstFlag
+	hdr.agent = second
+	hdr.load = load
+	return hdr
+}
+
+// Detour returns the header that asks another balancer to forward to agent.
+func (hdr Header) Detour(agent netip.AddrPort) Header {
+	hdr.kind = DetourKind
+	hdr.agent = agent
+	return hdr
+}
+
+// Hop returns a detoured header as its second balancer forwards it.
+func (hdr Header) Hop() Header {
+	hdr.kind = ForwardKind
+	hdr.flags |= HopFlag
+	hdr.agent = netip.AddrPort{}
+	return hdr
+}
+
+// Pass returns the header as one agent passes it to another.
+func (hdr Header) Pass(balancer netip.AddrPort) Header {
+	hdr.flags |= PassedFlag
+	hdr.agent = balancer
+	return hdr
+}
+
+func (hdr Header) withFlag(fl Flag, set bool) Header {
+	if set {
+		hdr.flags |= fl
+	}
+	return hdr
+}
+
+// Kind returns what the datagram is for.
+func (hdr Header) Kind() Kind { return hdr.kind }
+
+// Has reports whether a flag is set.
+func (hdr Header) Has(fl Flag) bool { return hdr.flags&fl != 0 }
+
+// Load returns the load word that the header carries.
+func (hdr Header) Load() Load { return hdr.load }
+
+// Caller returns the caller's IP number and port.
+func (hdr Header) Caller() netip.AddrPort { return hdr.caller }
+
+// Address returns the IP number that the caller uses.
+func (hdr Header) Address() netip.Addr { return hdr.address }
+
+// Service returns the service that the balancer found for the address.
+func (hdr Header) Service() lists.ServiceID { return hdr.service }
+
+// Agent returns the other choice, the detour's target, or the balancer that a
+// passed packet came through.
+func (hdr Header) Agent() netip.AddrPort { return hdr.agent }
+
+// Put writes the header into out, which holds at least HeaderBytes bytes.
+func (hdr Header) Put(out []byte) {
+	out[0] = byte(hdr.kind)
+	out[1] = byte(hdr.flags)
+	binary.BigEndian.PutUint32(out[2:], uint32(hdr.load))
+	putAddrPort(out[6:], hdr.caller)
+	putAddr(out[12:], hdr.address)
+	binary.BigEndian.PutUint32(out[16:], uint32(hdr.service))
+	putAddrPort(out[20:], hdr.agent)
+}
+
+// Parse reads the header of a datagram and reports whether it is well formed.
+// The caller's packet is what follows.
+func Parse(in []byte) (Header, bool) {
+	if len(in) < HeaderBytes {
+		return Header{}, false
+	}
+	hdr := Header{
+		kind:    Kind(in[0]),
+		flags:   Flag(in[1]),
+		load:    Load(binary.BigEndian.Uint32(in[2:])),
+		caller:  getAddrPort(in[6:]),
+		address: netip.AddrFrom4([4]byte(in[12:16])),
+		service: lists.ServiceID(binary.BigEndian.Uint32(in[16:])),
+		agent:   getAddrPort(in[20:]),
+	}
+	return hdr, hdr.kind >= ForwardKind && hdr.kind <= PongKind
+}
+
+func putAddr(out []byte, addr netip.Addr) {
+	if !addr.Is4() {
+		clear(out[:4])
+		return
+	}
+	ip := addr.As4()
+	copy(out, ip[:])
+}
+
+func putAddrPort(out []byte, ap netip.AddrPort) {
+	putAddr(out, ap.Addr())
+	binary.BigEndian.PutUint16(out[4:], ap.Port())
+}
+
+func getAddrPort(in []byte) netip.AddrPort {
+	addr := netip.AddrFrom4([4]byte(in[:4]))
+	return netip.AddrPortFrom(addr, binary.BigEndian.Uint16(in[4:]))
+}
--- /dev/null
+++ b/core/lists/keys.go
@@ -0,0 +1,71 @@
+package lists
+
+import (
+	"encoding/hex"
+	"sort"
+	"strconv"
+
+	"lagoondrum/core/text"
+)
+
+// SecretBytes is the length of a token key's secret.
+const SecretBytes = 32
+
+const maxKeyID = 255
+
+// Keys is the ring of keys that seal connection tokens.
+type Keys struct{ all []Key }
+
+// Key is one entry of the ring.
+type Key struct {
+	id     uint8
+	secret [SecretBytes]byte
+}
+
+// ParseKeys reads the list of token keys.
+func ParseKeys(raw []byte) (*Keys, error) {
+	kys := &Keys{}
+	_, err := open(KeysName, raw, func(sec *text.Section, rdr *text.Reader, fs *text.Faults) {
+		if sec.Kind() != "key" {
+			refuseKind(sec, fs)
+			return
+		}
+		id, err := strconv.Atoi(sec.Name())
+		if err != nil || id < 0 || id > maxKeyID {
+			fs.Add(sec.Line(), "a key is named by a whole number from 0 to 255")
+		}
+		secret, err := hex.DecodeString(rdr.String("secret"))
+		if err != nil || len(secret) != SecretBytes {
+			_, line, _ := sec.Get("secret")
+			fs.Add(line, "secret is not 64 hexadecimal digits")
+			return
+		}
+		kys.all = append(kys.all, Key{uint8(id), [SecretBytes]byte(secret)})
+	})
+	if err != nil {
+		return nil, err
+	}
+	sort.Slice(kys.all, func(i, j int) bool { return kys.all[i].id < kys.all[j].id })
+	return kys, nil
+}
+
+func (kys *Keys) list() {}
+
+// Find returns the key with a number.
+func (kys *Keys) Find(id uint8) (Key, bool) {
+	for _, ky := range kys.all {
+		if ky.id == id {
+			return ky, true
+		}
+	}
+	return Key{}, false
+}
+
+// All returns the keys by number; the highest one is the newest.
+func (kys *Keys) All() []Key { return kys.all }
+
+// ID returns the number that a token carries in clear.
+func (ky Key) ID() uint8 { return ky.id }
+
+// Secret returns the key's secret.
+func (ky Key) Secret() [SecretBytes]byte { return ky.secret }
--- /dev/null
+++ b/core/lists/plans.go
@@ -0,0 +1,215 @@
+package lists
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lagoondrum/core/text"
+)
+
+const shareTolerance = 1e-9
+
+// Plans holds the services, the plans and what each plan may use.
+type Plans struct {
+	services  map[string]*Service
+	byHash    map[ServiceID]*Service
+	plans     map[string]bool
+	grants    []*Grant
+	byAddress map[netip.Addr]*Grant
+}
+
+// ServiceID is the hash of a service's name that tokens carry.
+type ServiceID uint32
+
+// Service is something callers use, with what its upstreams promise.
+type Service struct {
+	name       string
+	streams    string
+	shedStatus int
+}
+
+// Grant is the permission of one plan to use one service.
+type Grant struct {
+	plan      string
+	service   string
+	address   netip.Addr
+	upstreams int
+	share     float64
+	line      int
+}
+
+// IDOf returns the hash that tokens carry for a service.
+func IDOf(service string) ServiceID { return ServiceID(xxhash.Sum64String(service)) }
+
+// ParsePlans reads the plans list.
+func ParsePlans(raw []byte) (*Plans, error) {
+	pls := &Plans{
+		services:  make(map[string]*Service),
+		byHash:    make(map[ServiceID]*Service),
+		plans:     make(map[string]bool),
+		byAddress: make(map[netip.Addr]*Grant),
+	}
+	_, err := open(PlansName, raw, pls.read)
+	fs := text.NewFaults(string(PlansName))
+	pls.checkReferences(fs)
+	pls.checkShares(fs)
+	if err = join(err, fs); err != nil {
+		return nil, err
+	}
+	return pls, nil
+}
+
+func (pls *Plans) list() {}
+
+func (pls *Plans) read(sec *text.Section, rdr *text.Reader, fs *text.Faults) {
+	if !needName(sec, fs) {
+		return
+	}
+	switch sec.Kind() {
+	case "service":
+		pls.addService(sec, rdr, fs)
+	case "plan":
+		pls.plans[sec.Name()] = true
+	case "grant":
+		pls.addGrant(sec, rdr, fs)
+	default:
+		refuseKind(sec, fs)
+	}
+}
+
+func (pls *Plans) addService(sec *text.Section, rdr *text.Reader, fs *text.Faults) {
+	svc := &Service{
+		name:       sec.Name(),
+		streams:    rdr.Optional("streams", ""),
+		shedStatus: rdr.Int("shedStatus", 0, 0, 599),
+	}
+	if other, ok := pls.byHash[svc.ID()]; ok {
+		fs.Add(sec.Line(), fmt.Sprintf("service %s has the same hash as %s: rename one", svc.name, other.name))
+	}
+	pls.services[svc.name] = svc
+	pls.byHash[svc.ID()] = svc
+}
+
+func (pls *Plans) addGrant(sec *text.Section, rdr *text.Reader, fs *text.Faults) {
+	plan, service, ok := strings.Cut(sec.Name(), " ")
+	if !ok {
+		fs.Add(sec.Line(), "a grant names a plan and a service")
+	}
+	gr := &Grant{
+		plan:      plan,
+		service:   strings.TrimSpace(service),
+		address:   rdr.Addr("address"),
+		upstreams: rdr.Int("upstreams", 0, 1, 1<<16),
+		share:     rdr.Share("share"),
+		line:      sec.Line(),
+	}
+	if _, ok := pls.byAddress[gr.address]; ok && gr.address.IsValid() {
+		_, line, _ := sec.Get("address")
+		fs.Add(line, "duplicate address "+gr.address.String())
+	}
+	if _, line, ok := sec.Get("upstreams"); !ok {
+		fs.Add(line, fmt.Sprintf("[%s] needs upstreams", sec.Title()))
+	}
+	pls.grants = append(pls.grants, gr)
+	pls.byAddress[gr.address] = gr
+}
+
+func (pls *Plans) checkReferences(fs *text.Faults) {
+	for _, gr := range pls.grants {
+		if !pls.plans[gr.plan] {
+			fs.Add(gr.line, "unknown plan "+gr.plan)
+		}
+		if _, ok := pls.services[gr.service]; !ok {
+			fs.Add(gr.line, "unknown service "+gr.service)
+		}
+	}
+}
+
+func (pls *Plans) checkShares(fs *text.Faults) {
+	sums := make(map[string]float64)
+	for _, gr := range pls.grants {
+		before := sums[gr.service]
+		sums[gr.service] += gr.share
+		if before <= 1+shareTolerance && sums[gr.service] > 1+shareTolerance {
+			fs.Add(gr.line, fmt.Sprintf("the shares of service %s add up to more than 1", gr.service))
+		}
+	}
+}
+
+// join returns the faults of an earlier step and of fs as one error.
+func join(err error, fs *text.Faults) error {
+	earlier, ok := err.(*text.Faults)
+	if !ok {
+		return fs.Err()
+	}
+	for _, fault := range earlier.All() {
+		fs.Add(fault.Line(), fault.Reason())
+	}
+	return fs.Err()
+}
+
+// Grants returns the grants in file order.
+func (pls *Plans) Grants() []*Grant { return pls.grants }
+
+// HasPlan reports whether a plan of this name exists.
+func (pls *Plans) HasPlan(name string) bool { return pls.plans[name] }
+
+// Service returns a service by name.
+func (pls *Plans) Service(name string) (*Service, bool) {
+	svc, ok := pls.services[name]
+	return svc, ok
+}
+
+// Services returns how many services exist.
+func (pls *Plans) Services() int { return len(pls.services) }
+
+// ByAddress returns the grant whose callers use this address.
+func (pls *Plans) ByAddress(addr netip.Addr) (*Grant, bool) {
+	gr, ok := pls.byAddress[addr]
+	return gr, ok
+}
+
+// Grant returns what a plan may use of a service.
+func (pls *Plans) Grant(plan, service string) (*Grant, bool) {
+	for _, gr := range pls.grants {
+		if gr.plan == plan && gr.service == service {
+			return gr, true
+		}
+	}
+	return nil, false
+}
+
+// Name returns the service's name.
+func (svc *Service) Name() string { return svc.name }
+
+// ID returns the hash that tokens carry.
+func (svc *Service) ID() ServiceID { return IDOf(svc.name) }
+
+// IsStream reports whether requests for path are long streams that hold no
+// work slot.
+func (svc *Service) IsStream(path string) bool {
+	return svc.streams != "" && strings.HasPrefix(path, svc.streams)
+}
+
+// ShedStatus returns the HTTP status by which an upstream promises that it ran
+// nothing, or 0 when it makes no such promise.
+func (svc *Service) ShedStatus() int { return svc.shedStatus }
+
+// Plan returns the plan's name.
+func (gr *Grant) Plan() string { return gr.plan }
+
+// Service returns the service's name.
+func (gr *Grant) Service() string { return gr.service }
+
+// Address returns the IP number that callers use.
+func (gr *Grant) Address() netip.Addr { return gr.address }
+
+// Upstreams returns how many upstreams the plan may use.
+func (gr *Grant) Upstreams() int { return gr.upstreams }
+
+// Share returns the fraction of each upstream's slots that the plan is
+// guaranteed, over 0 and at most 1.
+func (gr *Grant) Share() float64 { return gr.share }
--- /dev/null
+++ b/core/lists/vms.go
@@ -0,0 +1,123 @@
+package lists
+
+import (
+	"net/netip"
+
+	"lagoondrum/core/text"
+)
+
+// Role says which process runs on a VM.
+type Role string
+
+// State says whether a VM takes new work.
+type State string
+
+// The roles and states of VMs.
+const (
+	BalancerRole Role  = "balancer"
+	UpstreamRole Role  = "upstream"
+	LiveState    State = "live"
+	LeavingState State = "leaving"
+)
+
+const (
+	maxSlots       = 1 << 16
+	maxConnections = 1 << 20
+)
+
+// VMs is the platform's lagging list of live and leaving VMs.
+type VMs struct {
+	all       []*VM
+	byAddress map[netip.AddrPort]*VM
+}
+
+// VM is one machine that runs a process of the system.
+type VM struct {
+	name        string
+	role        Role
+	address     netip.AddrPort
+	zone        string
+	region      string
+	service     string
+	slots       int
+	connections int
+	state       State
+}
+
+// ParseVMs reads the list of VMs.
+func ParseVMs(raw []byte) (*VMs, error) {
+	vms := &VMs{byAddress: make(map[netip.AddrPort]*VM)}
+	_, err := open(VMsName, raw, func(sec *text.Section, rdr *text.Reader, fs *text.Faults) {
+		if sec.Kind() != "vm" {
+			refuseKind(sec, fs)
+			return
+		}
+		needName(sec, fs)
+		vm := readVM(sec, rdr)
+		if _, ok := vms.byAddress[vm.address]; ok && vm.address.IsValid() {
+			_, line, _ := sec.Get("address")
+			fs.Add(line, "duplicate address "+vm.address.String())
+		}
+		vms.all = append(vms.all, vm)
+		vms.byAddress[vm.address] = vm
+	})
+	if err != nil {
+		return nil, err
+	}
+	return vms, nil
+}
+
+func readVM(sec *text.Section, rdr *text.Reader) *VM {
+	vm := &VM{
+		name:    sec.Name(),
+		role:    Role(rdr.OneOf("role", string(UpstreamRole), string(BalancerRole))),
+		address: rdr.AddrPort("address"),
+		zone:    rdr.String("zone"),
+		region:  rdr.Optional("region", ""),
+		state:   State(rdr.OneOf("state", string(LiveState), string(LeavingState))),
+	}
+	if vm.role == UpstreamRole {
+		vm.service = rdr.String("service")
+		vm.slots = rdr.Int("slots", 1, 1, maxSlots)
+		vm.connections = rdr.Int("connections", 2000, 1, maxConnections)
+	}
+	return vm
+}
+
+func (vms *VMs) list() {}
+
+// All returns the VMs in file order.
+func (vms *VMs) All() []*VM { return vms.all }
+
+// ByAddress returns the VM whose process listens at an address.
+func (vms *VMs) ByAddress(ap netip.AddrPort) (*VM, bool) {
+	vm, ok := vms.byAddress[ap]
+	return vm, ok
+}
+
+// Name returns the VM's name.
+func (vm *VM) Name() string { return vm.name }
+
+// Role returns which process runs on the VM.
+func (vm *VM) Role() Role { return vm.role }
+
+// Address returns where the process listens for its peers, over UDP and TCP.
+func (vm *VM) Address() netip.AddrPort { return vm.address }
+
+// Zone returns the VM's availability zone.
+func (vm *VM) Zone() string { return vm.zone }
+
+// Region returns the VM's region.
+func (vm *VM) Region() string { return vm.region }
+
+// Service returns the service that the upstream on the VM serves.
+func (vm *VM) Service() string { return vm.service }
+
+// Slots returns how many pieces of work the upstream runs at once.
+func (vm *VM) Slots() int { return vm.slots }
+
+// Connections returns how many open flows the upstream is meant for.
+func (vm *VM) Connections() int { return vm.connections }
+
+// Leaving reports whether the platform says that the VM is leaving.
+func (vm *VM) Leaving() bool { return vm.state == LeavingState }
--- /dev/null
+++ b/core/table/table.go
@@ -0,0 +1,218 @@
+// Package table turns the lists into what a balancer looks up for a packet: the
+// grant of an address and the agents that may take its new flows.
+package table
+
+import (
+	"math"
+	"net/netip"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lagoondrum/core/lists"
+)
+
+// Table is an immutable lookup structure for one revision of the lists.
+type Table struct {
+	entries map[netip.Addr]*Entry
+	agents  map[netip.AddrPort]struct{}
+	relays  []netip.AddrPort
+}
+
+// Entry is what one address leads to.
+type Entry struct {
+	grant      *lists.Grant
+	service    lists.ServiceID
+	candidates []Candidate
+}
+
+// Candidate is one agent that may take new flows of an address.
+type Candidate struct {
+	agent  netip.AddrPort
+	seed   uint64
+	weight float64
+}
+
+// Place says where the process that owns the table runs.
+type Place struct {
+	zone   string
+	region string
+	self   netip.AddrPort
+}
+
+// NewPlace returns the place of a process.
+func NewPlace(zone, region string, self netip.AddrPort) Place {
+	return Place{zone: zone, region: region, self: self}
+}
+
+// Zone returns the availability zone.
+func (pl Place) Zone() string { return pl.zone }
+
+// Region returns the region.
+func (pl Place) Region() string { return pl.region }
+
+// Self returns the address of the process itself.
+func (pl Place) Self() netip.AddrPort { return pl.self }
+
+// New builds the table of a process at place. Nil lists count as empty.
+func New(pls *lists.Plans, vms *lists.VMs, place Place) *Table {
+	tab := &Table{entries: make(map[netip.Addr]*Entry), agents: make(map[netip.AddrPort]struct{})}
+	if vms == nil {
+		return tab
+	}
+	byService := tab.addVMs(vms, place)
+	if pls == nil {
+		return tab
+	}
+	for _, gr := range pls.Grants() {
+		pool := inRegion(byService[gr.Service()], place.region)
+		tab.entries[gr.Address()] = newEntry(gr, pool)
+	}
+	return tab
+}
+
+func (tab *Table) addVMs(vms *lists.VMs, place Place) map[string][]*lists.VM {
+	byService := make(map[string][]*lists.VM)
+	for _, vm := range vms.All() {
+		switch {
+		case vm.Role() == lists.UpstreamRole:
+			tab.agents[vm.Address()] = struct{}{}
+			byService[vm.Service()] = append(byService[vm.Service()], vm)
+		case vm.Address() != place.self && !vm.Leaving() && vm.Zone() != place.zone && vm.Region() == place.region:
+			tab.relays = append(tab.relays, vm.Address())
+		}
+	}
+	return byService
+}
+
+// inRegion keeps the VMs of a region, or all when none of them is live there.
+func inRegion(vms []*lists.VM, region string) []*lists.VM {
+	var near []*lists.VM
+	live := false
+	for _, vm := range vms {
+		if vm.Region() == region {
+			near = append(near, vm)
+			live = live || !vm.Leaving()
+		}
+	}
+	if !live {
+		return vms
+	}
+	return near
+}
+
+// Pool returns the upstreams of a service that a process at place may use.
+func Pool(vms *lists.VMs, service string, place Place) []*lists.VM {
+	var pool []*lists.VM
+	for _, vm := range vms.All() {
+		if vm.Role() == lists.UpstreamRole && vm.Service() == service {
+			pool = append(pool, vm)
+		}
+	}
+	return inRegion(pool, place.region)
+}
+
+func newEntry(gr *lists.Grant, pool []*lists.VM) *Entry {
+	ent := &Entry{grant: gr, service: lists.IDOf(gr.Service())}
+	for _, vm := range Subset(gr, pool) {
+		ent.candidates = append(ent.candidates, Candidate{
+			agent:  vm.Address(),
+			seed:   xxhash.Sum64String(vm.Address().String()),
+			weight: float64(vm.Slots()),
+		})
+	}
+	return ent
+}
+
+// Subset returns the live upstreams that a grant may use: the first ones of a
+// rendezvous ranking, so that a change of one VM changes at most one of them.
+func Subset(gr *lists.Grant, pool []*lists.VM) []*lists.VM {
+	live := make([]*lists.VM, 0, len(pool))
+	for _, vm := range pool {
+		if !vm.Leaving() {
+			live = append(live, vm)
+		}
+	}
+	if len(live) <= gr.Upstreams() {
+		return live
+	}
+	seed := xxhash.Sum64String(gr.Plan() + " " + gr.Service())
+	rank := func(vm *lists.VM) uint64 { return mix(seed ^ xxhash.Sum64String(vm.Address().String())) }
+	sort.Slice(live, func(i, j int) bool { return rank(live[i]) > rank(live[j]) })
+	return live[:gr.Upstreams()]
+}
+
+// Lookup returns the entry of an address.
+func (tab *Table) Lookup(addr netip.Addr) (*Entry, bool) {
+	ent, ok := tab.entries[addr]
+	return ent, ok
+}
+
+// Names reports whether the lists name an agent at this address.
+func (tab *Table) Names(agent netip.AddrPort) bool {
+	_, ok := tab.agents[agent]
+	return ok
+}
+
+// Agents returns how many agents the lists name.
+func (tab *Table) Agents() int { return len(tab.agents) }
+
+// AgentAddresses returns the agents that the lists name, in no order.
+func (tab *Table) AgentAddresses() []netip.AddrPort {
+	all := make([]netip.AddrPort, 0, len(tab.agents))
+	for agent := range tab.agents {
+		all = append(all, agent)
+	}
+	return all
+}
+
+// Relays returns the live balancers of other availability zones in the region.
+func (tab *Table) Relays() []netip.AddrPort { return tab.relays }
+
+// Grant returns the grant of the address.
+func (ent *Entry) Grant() *lists.Grant { return ent.grant }
+
+// Service returns the service of the address.
+func (ent *Entry) Service() lists.ServiceID { return ent.service }
+
+// Candidates returns the agents that may take new flows.
+func (ent *Entry) Candidates() []Candidate { return ent.candidates }
+
+// Agent returns the candidate's address.
+func (cnd Candidate) Agent() netip.AddrPort { return cnd.agent }
+
+// Choose returns the two best candidates for a key among those that usable
+// accepts, by weighted rendezvous. Absent ones are zero.
+func (ent *Entry) Choose(key uint64, usable func(netip.AddrPort) bool) (first, second netip.AddrPort) {
+	bestScore, nextScore := math.Inf(-1), math.Inf(-1)
+	for i := range ent.candidates {
+		cnd := &ent.candidates[i]
+		if !usable(cnd.agent) {
+			continue
+		}
+		score := cnd.score(key)
+		switch {
+		case score > bestScore:
+			second, nextScore = first, bestScore
+			first, bestScore = cnd.agent, score
+		case score > nextScore:
+			second, nextScore = cnd.agent, score
+		}
+	}
+	return first, second
+}
+
+// score is the weighted rendezvous score of a candidate for a key.
+func (cnd *Candidate) score(key uint64) float64 {
+	unit := (float64(mix(key^cnd.seed)>>11) + 0.5) / (1 << 53)
+	return -cnd.weight / math.Log(unit)
+}
+
+// mix spreads the bits of a 64-bit value (the finalizer of SplitMix64).
+func mix(val uint64) uint64 {
+	val ^= val >> 30
+	val *= 0xbf58476d1ce4e5b9
+	val ^= val >> 27
+	val *= 0x94d049bb133111eb
+	return val ^ val>>31
+}
--- /dev/null
+++ b/core/text/doc.go
@@ -0,0 +1,237 @@
+// Package text reads the INI documents of lagoondrum, the lists and the
+// settings, and reports every fault in them with its line.
+package text
+
+import (
+	"bytes"
+	"fmt"
+	"sort"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// EndSection is the name of the section that closes a complete document.
+const EndSection = "end"
+
+// MaxBytes is the largest document that is read, in bytes.
+const MaxBytes = 1 << 20
+
+// Doc is a parsed document. It is immutable.
+type Doc struct {
+	file     string
+	sections []*Section
+	lines    int
+}
+
+// Section is one section of a document, with its keys in file order.
+type Section struct {
+	kind string
+	name string
+	line int
+	keys []Key
+}
+
+// Key is one key of a section with its value and line.
+type Key struct {
+	name  string
+	value string
+	line  int
+}
+
+// Parse reads raw as an INI document called file. When closed is set the last
+// section has to be [end], so that a truncated document is refused. The error,
+// if any, is a *Faults.
+func Parse(file string, raw []byte, closed bool) (*Doc, error) {
+	fs := NewFaults(file)
+	if len(raw) > MaxBytes {
+		fs.Add(0, fmt.Sprintf("document of %d bytes is larger than %d bytes", len(raw), MaxBytes))
+		return nil, fs.Err()
+	}
+	raw = normalize(raw)
+	if err := checkSyntax(raw); err != nil {
+		fs.Add(syntaxLine(raw, err), err.Error())
+		return nil, fs.Err()
+	}
+	doc := index(file, raw)
+	doc.checkUnique(fs)
+	if closed {
+		doc.checkClosed(fs)
+	}
+	if err := fs.Err(); err != nil {
+		return nil, err
+	}
+	return doc, nil
+}
+
+// File returns the name of the document.
+func (doc *Doc) File() string { return doc.file }
+
+// Lines returns the number of lines of the document.
+func (doc *Doc) Lines() int { return doc.lines }
+
+// Sections returns the sections in file order, without the closing one.
+func (doc *Doc) Sections() []*Section { return doc.sections }
+
+// Kind returns the first word of the section's title.
+func (sec *Section) Kind() string { return sec.kind }
+
+// Name returns the section's title after its first word.
+func (sec *Section) Name() string { return sec.name }
+
+// Line returns the line of the section's title, counted from 1.
+func (sec *Section) Line() int { return sec.line }
+
+// Keys returns the keys in file order.
+func (sec *Section) Keys() []Key { return sec.keys }
+
+// Get returns the value and line of a key, and whether it is present.
+func (sec *Section) Get(name string) (string, int, bool) {
+	for _, key := range sec.keys {
+		if key.name == name {
+			return key.value, key.line, true
+		}
+	}
+	return "", sec.line, false
+}
+
+// Title returns the whole title of the section.
+func (sec *Section) Title() string {
+	return strings.TrimSpace(sec.kind + " " + sec.name)
+}
+
+// Text returns the section in canonical form: title, then keys in name order.
+func (sec *Section) Text() string {
+	keys := append([]Key(nil), sec.keys...)
+	sort.Slice(keys, func(i, j int) bool { return keys[i].name < keys[j].name })
+	var sb strings.Builder
+	sb.WriteString("[" + sec.Title() + "]\n")
+	for _, key := range keys {
+		sb.WriteString(key.name + " = " + key.value + "\n")
+	}
+	return sb.String()
+}
+
+// Name returns the key's name.
+func (key Key) Name() string { return key.name }
+
+// Value returns the key's value without surrounding blanks.
+func (key Key) Value() string { return key.value }
+
+// Line returns the key's line, counted from 1.
+func (key Key) Line() int { return key.line }
+
+func normalize(raw []byte) []byte {
+	raw = bytes.TrimPrefix(raw, []byte("\xef\xbb\xbf"))
+	return bytes.ReplaceAll(raw, []byte("\r\n"), []byte("\n"))
+}
+
+func checkSyntax(raw []byte) error {
+	if bytes.IndexByte(raw, 0) >= 0 {
+		return &syntaxError{line: 1 + bytes.Count(raw[:bytes.IndexByte(raw, 0)], []byte("\n")), reason: "NUL byte in text"}
+	}
+	for num, line := range strings.Split(string(raw), "\n") {
+		if reason := lineFault(strings.TrimSpace(line)); reason != "" {
+			return &syntaxError{line: num + 1, reason: reason}
+		}
+	}
+	opts := ini.LoadOptions{IgnoreInlineComment: true, AllowNonUniqueSections: true, IgnoreContinuation: true}
+	_, err := ini.LoadSources(opts, raw)
+	return err
+}
+
+// lineFault names what ini would accept silently although a list must not hold it.
+func lineFault(line string) string {
+	switch {
+	case line == "", isComment(line):
+		return ""
+	case line[0] == '[' && line[len(line)-1] != ']':
+		return "section title is not closed by ]"
+	case line[0] == '[', strings.Contains(line, "="):
+		return ""
+	default:
+		return "line is neither a section title, a key = value, nor a comment"
+	}
+}
+
+func isComment(line string) bool { return line[0] == '#' || line[0] == ';' }
+
+func syntaxLine(raw []byte, err error) int {
+	if se, ok := err.(*syntaxError); ok {
+		return se.line
+	}
+	return 1 + bytes.Count(raw, []byte("\n"))
+}
+
+// index records the line of each title and key of a syntactically valid text.
+func index(file string, raw []byte) *Doc {
+	lines := strings.Split(string(raw), "\n")
+	doc := &Doc{file: file, lines: len(lines)}
+	sec := &Section{kind: "", line: 1}
+	for num, line := range lines {
+		line = strings.TrimSpace(line)
+		switch {
+		case line == "" || isComment(line):
+		case line[0] == '[':
+			doc.push(sec)
+			sec = newSection(line, num+1)
+		default:
+			name, value, _ := strings.Cut(line, "=")
+			sec.keys = append(sec.keys, Key{strings.TrimSpace(name), strings.TrimSpace(value), num + 1})
+		}
+	}
+	doc.push(sec)
+	return doc
+}
+
+func newSection(line string, num int) *Section {
+	kind, name, _ := strings.Cut(strings.TrimSpace(line[1:len(line)-1]), " ")
+	return &Section{kind: kind, name: strings.TrimSpace(name), line: num}
+}
+
+func (doc *Doc) push(sec *Section) {
+	if sec.kind == "" && len(sec.keys) == 0 {
+		return
+	}
+	doc.sections = append(doc.sections, sec)
+}
+
+func (doc *Doc) checkUnique(fs *Faults) {
+	seen := make(map[string]int, len(doc.sections))
+	for _, sec := range doc.sections {
+		if sec.kind == "" {
+			fs.Add(sec.line, "section without a title")
+		}
+		if line, ok := seen[sec.Title()]; ok {
+			fs.Add(sec.line, fmt.Sprintf("section [%s] stands already on line %d", sec.Title(), line))
+		}
+		seen[sec.Title()] = sec.line
+		sec.checkUnique(fs)
+	}
+}
+
+func (sec *Section) checkUnique(fs *Faults) {
+	seen := make(map[string]int, len(sec.keys))
+	for _, key := range sec.keys {
+		if line, ok := seen[key.name]; ok {
+			fs.Add(key.line, fmt.Sprintf("key %s stands already on line %d", key.name, line))
+		}
+		seen[key.name] = key.line
+	}
+}
+
+func (doc *Doc) checkClosed(fs *Faults) {
+	last := len(doc.sections) - 1
+	if last < 0 {
+		fs.Add(1, "document is empty")
+		return
+	}
+	if doc.sections[last].Title() != EndSection {
+		fs.Add(doc.lines, "document is truncated: the last section is not [end]")
+		return
+	}
+	doc.sections = doc.sections[:last]
+	if len(doc.sections) == 0 {
+		fs.Add(1, "document has no sections")
+	}
+}
--- /dev/null
+++ b/io/caller/link.go
@@ -0,0 +1,174 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+// Timing of one connection.
+const (
+	handshakeTimeout = 8 * time.Second
+	idleTimeout      = 60 * time.Second
+	keepAlive        = 3 * time.Second
+	watchInterval    = 100 * time.Millisecond
+	silenceToMove    = time.Second // Packets unanswered for this long make the path move.
+	maxMoves         = 3           // Moves without any answer that end the connection.
+	sessionPath      = "/.lagoondrum/session"
+)
+
+// news is one line of the session that the agent keeps with the client.
+type news struct {
+	Prefix string `json:"prefix"`
+	Phase  string `json:"phase"`
+}
+
+// link is one QUIC connection to an agent, with the session on it.
+type link struct {
+	path      *path
+	transport *quic.Transport
+	conn      *quic.Conn
+	http      *http3.ClientConn
+	prefix    string
+	counter   atomic.Uint32
+	leaving   chan struct{}
+	once      sync.Once
+	moves     atomic.Int64
+	users     sync.WaitGroup
+}
+
+// dial opens a connection and its session.
+func dial(ctx context.Context, cfg Config) (*link, error) {
+	pth, err := newPath(cfg.dialer(), cfg.remote())
+	if err != nil {
+		return nil, err
+	}
+	lnk := &link{path: pth, leaving: make(chan struct{})}
+	lnk.transport = &quic.Transport{Conn: pth}
+	if err := lnk.connect(ctx, cfg); err != nil {
+		lnk.close()
+		return nil, err
+	}
+	go lnk.watch()
+	return lnk, nil
+}
+
+func (lnk *link) connect(ctx context.Context, cfg Config) error {
+	tlsConf := cfg.TLS.Clone()
+	tlsConf.NextProtos = []string{http3.NextProtoH3}
+	con, err := lnk.transport.Dial(ctx, lnk.path.remote, tlsConf, &quic.Config{
+		HandshakeIdleTimeout:    handshakeTimeout,
+		MaxIdleTimeout:          idleTimeout,
+		KeepAlivePeriod:         keepAlive,
+		DisablePathMTUDiscovery: true,
+	})
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	lnk.conn = con
+	lnk.http = (&http3.Transport{DisableCompression: true}).NewClientConn(con)
+	return lnk.openSession(ctx, cfg)
+}
+
+// openSession gets the prefix of the work IDs and then listens for news.
+func (lnk *link) openSession(ctx context.Context, cfg Config) error {
+	req, err := http.NewRequestWithContext(lnk.conn.Context(), http.MethodGet, cfg.url(sessionPath), nil)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = lnk.conn.CloseWithError(0, "dial given up") })
+	defer stop()
+	rsp, err := lnk.http.RoundTrip(req)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if rsp.StatusCode != http.StatusOK {
+		return refusalOf(rsp)
+	}
+	dec := json.NewDecoder(rsp.Body)
+	var first news
+	if err := dec.Decode(&first); err != nil {
+		return errors.WithStack(err)
+	}
+	lnk.prefix = first.Prefix
+	lnk.note(first)
+	go lnk.listen(dec)
+	return nil
+}
+
+func (lnk *link) listen(dec *json.Decoder) {
+	for {
+		var next news
+		if dec.Decode(&next) != nil {
+			lnk.retire()
+			return
+		}
+		lnk.note(next)
+	}
+}
+
+func (lnk *link) note(next news) {
+	if next.Phase != "serving" {
+		lnk.retire()
+	}
+}
+
+// retire makes new requests go to another connection.
+func (lnk *link) retire() { lnk.once.Do(func() { close(lnk.leaving) }) }
+
+func (lnk *link) retired() bool {
+	select {
+	case <-lnk.leaving:
+		return true
+	case <-lnk.conn.Context().Done():
+		return true
+	default:
+		return false
+	}
+}
+
+// watch moves the path to a new port while packets go unanswered, and ends the
+// connection when moving does not help.
+func (lnk *link) watch() {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	moved := 0
+	moveAt := time.Time{}
+	for {
+		select {
+		case <-lnk.conn.Context().Done():
+			return
+		case now := <-ticker.C:
+			since := lnk.path.silentSince()
+			switch {
+			case since.IsZero() || now.Sub(since) < silenceToMove:
+				moved = 0
+			case now.Before(moveAt):
+			case moved >= maxMoves:
+				_ = lnk.conn.CloseWithError(0, "path is silent")
+			default:
+				moved++
+				moveAt = now.Add(silenceToMove)
+				lnk.moves.Add(1)
+				_ = lnk.path.move()
+			}
+		}
+	}
+}
+
+func (lnk *link) nextID() string { return formatID(lnk.prefix, lnk.counter.Add(1)) }
+
+func (lnk *link) close() {
+	if lnk.conn != nil {
+		_ = lnk.conn.CloseWithError(0, "")
+	}
+	_ = lnk.path.Close() // The transport waits for its reader, which only this ends.
+	_ = lnk.transport.Close()
+}
--- /dev/null
+++ b/io/entry/entry.go
@@ -0,0 +1,185 @@
+// Package entry is the data path of a balancer: one datagram in, one out, with
+// no state for any flow.
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+
+	"lagoondrum/core/frame"
+	"lagoondrum/core/route"
+	"lagoondrum/core/table"
+	"lagoondrum/core/token"
+	"lagoondrum/io/mmsg"
+	"lagoondrum/io/stats"
+)
+
+// pollInterval is how often the links to agents are judged.
+const pollInterval = 50 * time.Millisecond
+
+// Entry is the data path of one balancer.
+type Entry struct {
+	place   table.Place
+	callers *mmsg.Conn
+	agents  *mmsg.Conn
+	router  atomic.Pointer[route.Router]
+	links   *linkSet
+	meter   *meter
+	log     *zap.Logger
+}
+
+// New opens the sockets of a balancer: port for callers at every address, and
+// the place's own address for agents and other balancers.
+func New(port int, place table.Place, scope *stats.Scope, log *zap.Logger) (*Entry, error) {
+	callers, err := mmsg.Listen(netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(port)), true)
+	if err != nil {
+		return nil, err
+	}
+	agents, err := mmsg.Listen(place.Self(), false)
+	if err != nil {
+		_ = callers.Close()
+		return nil, err
+	}
+	ent := &Entry{place: place, callers: callers, agents: agents, links: newLinkSet(), meter: newMeter(scope), log: log}
+	ent.SetTable(table.New(nil, nil, place), token.NewRing())
+	return ent, nil
+}
+
+// SetTable puts a table and a key ring in force.
+func (ent *Entry) SetTable(tab *table.Table, rng *token.Ring) {
+	ent.links.cover(tab)
+	ent.router.Store(route.New(tab, rng, ent.links))
+}
+
+// Router returns the router in force.
+func (ent *Entry) Router() *route.Router { return ent.router.Load() }
+
+// Links returns what is known about each agent.
+func (ent *Entry) Links() []LinkState { return ent.links.states() }
+
+// Supervise adds the parts of the data path to a supervisor.
+func (ent *Entry) Supervise(sup *suture.Supervisor) {
+	sup.Add(&inbound{ent})
+	sup.Add(&outbound{ent})
+	sup.Add(&judge{ent})
+}
+
+// Close closes the sockets.
+func (ent *Entry) Close() {
+	_ = ent.callers.Close()
+	_ = ent.agents.Close()
+}
+
+// inbound carries datagrams from callers to agents.
+type inbound struct{ ent *Entry }
+
+func (inb *inbound) String() string { return "inbound" }
+
+// Serve runs until the socket is closed.
+func (inb *inbound) Serve(context.Context) error {
+	ent := inb.ent
+	box := mmsg.NewInbox(frame.HeaderBytes)
+	out := mmsg.NewOutbox()
+	for {
+		count, err := ent.callers.Read(box)
+		if err != nil {
+			return suture.ErrDoNotRestart
+		}
+		now := time.Now()
+		rtr := ent.router.Load()
+		for i := range count {
+			ent.forward(rtr, box, i, out, now)
+		}
+		ent.meter.refused(ent.agents.Flush(out))
+	}
+}
+
+func (ent *Entry) forward(rtr *route.Router, box *mmsg.Inbox, i int, out *mmsg.Outbox, now time.Time) {
+	ver := rtr.Decide(box.Source(i), box.Dest(i), box.Data(i))
+	ent.meter.verdict(ver.Reason())
+	if ver.Dropped() {
+		return
+	}
+	if lnk := ver.Link(); lnk != nil {
+		lnk.NoteSent(now)
+	}
+	pth := rtr.Path(ver, now)
+	framed := box.Framed(i)
+	pth.Header().Put(framed)
+	out.Add(framed, pth.Next(), netip.Addr{})
+}
+
+// outbound carries datagrams from agents to callers, and detours.
+type outbound struct{ ent *Entry }
+
+func (otb *outbound) String() string { return "outbound" }
+
+// Serve runs until the socket is closed.
+func (otb *outbound) Serve(context.Context) error {
+	ent := otb.ent
+	box := mmsg.NewInbox(0)
+	toCallers, toAgents := mmsg.NewOutbox(), mmsg.NewOutbox()
+	for {
+		count, err := ent.agents.Read(box)
+		if err != nil {
+			return suture.ErrDoNotRestart
+		}
+		now := time.Now()
+		for i := range count {
+			ent.receive(box.Source(i), box.Data(i), toCallers, toAgents, now)
+		}
+		ent.meter.refused(ent.callers.Flush(toCallers) + ent.agents.Flush(toAgents))
+	}
+}
+
+func (ent *Entry) receive(from netip.AddrPort, data []byte, toCallers, toAgents *mmsg.Outbox, now time.Time) {
+	hdr, ok := frame.Parse(data)
+	if !ok {
+		ent.meter.badFrame()
+		return
+	}
+	switch hdr.Kind() {
+	case frame.ReturnKind:
+		ent.noteHeard(from, hdr, now)
+		ent.answer(hdr, data[frame.HeaderBytes:], toCallers)
+	case frame.PongKind:
+		ent.noteHeard(from, hdr, now)
+	case frame.DetourKind:
+		ent.detour(hdr, data, toAgents)
+	default:
+		ent.meter.badFrame()
+	}
+}
+
+func (ent *Entry) noteHeard(from netip.AddrPort, hdr frame.Header, now time.Time) {
+	if lnk := ent.links.Link(from); lnk != nil {
+		lnk.NoteHeard(now, hdr.Load(), hdr.Has(frame.LeavingFlag))
+	}
+}
+
+// answer sends an agent's packet to its caller, from the address that the
+// caller uses; other source addresses are never sent from.
+func (ent *Entry) answer(hdr frame.Header, packet []byte, out *mmsg.Outbox) {
+	if _, ok := ent.router.Load().Table().Lookup(hdr.Address()); !ok {
+		ent.meter.badFrame()
+		return
+	}
+	ent.meter.returned()
+	out.Add(packet, hdr.Caller(), hdr.Address())
+}
+
+func (ent *Entry) detour(hdr frame.Header, data []byte, out *mmsg.Outbox) {
+	pth, ok := ent.router.Load().Relayed(hdr, data[frame.HeaderBytes:])
+	if !ok {
+		ent.meter.badFrame()
+		return
+	}
+	ent.meter.detoured()
+	pth.Header().Put(data)
+	out.Add(data, pth.Next(), netip.Addr{})
+}
--- /dev/null
+++ b/io/feed/feed.go
@@ -0,0 +1,207 @@
+// Package feed keeps the lists in force at a process: it reads the platform
+// where the process is a reader, and tells subscribers what changed.
+package feed
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lagoondrum/core/lists"
+	"lagoondrum/core/spread"
+	"lagoondrum/core/text"
+	"lagoondrum/io/stats"
+)
+
+// Lists is the set of lists in force, safe for concurrent use.
+type Lists struct {
+	mu          sync.Mutex
+	store       *spread.Store
+	subscribers []func(lists.Name)
+	refusals    map[lists.Name]Refusal
+	scope       *stats.Scope
+	log         *zap.Logger
+}
+
+// Refusal is the newest edit of a list that was not valid.
+type Refusal struct {
+	revision uint64
+	err      error
+}
+
+// Revision returns the revision that was refused.
+func (ref Refusal) Revision() uint64 { return ref.revision }
+
+// Err returns why.
+func (ref Refusal) Err() error { return ref.err }
+
+// State is what is in force of one list.
+type State struct {
+	version spread.Version
+	since   time.Time
+	refusal *Refusal
+}
+
+// Version returns the version in force.
+func (sta State) Version() spread.Version { return sta.version }
+
+// Since returns when it was adopted.
+func (sta State) Since() time.Time { return sta.since }
+
+// Refusal returns the newest refused edit since then, or nil.
+func (sta State) Refusal() *Refusal { return sta.refusal }
+
+// New returns a set without lists.
+func New(scope *stats.Scope, log *zap.Logger) *Lists {
+	return &Lists{store: spread.NewStore(), refusals: make(map[lists.Name]Refusal), scope: scope, log: log}
+}
+
+// Subscribe has fn called after each change, with the name of the list.
+func (lst *Lists) Subscribe(fn func(lists.Name)) {
+	lst.mu.Lock()
+	defer lst.mu.Unlock()
+	lst.subscribers = append(lst.subscribers, fn)
+}
+
+// Offer takes a list as the platform publishes it.
+func (lst *Lists) Offer(name lists.Name, revision uint64, raw []byte, now time.Time) {
+	lst.mu.Lock()
+	res := lst.store.Offer(name, revision, raw, now)
+	lst.settle(name, revision, res)
+}
+
+// Apply takes an update from a peer and reports whether the whole list is
+// needed instead.
+func (lst *Lists) Apply(upd spread.Update, now time.Time) (needsWhole bool) {
+	lst.mu.Lock()
+	res := lst.store.Apply(upd, now)
+	if ref, ok := res.(spread.Refused); ok {
+		if _, ok := ref.Err.(*spread.BaseError); ok {
+			lst.mu.Unlock()
+			return true
+		}
+	}
+	lst.settle(upd.Name(), upd.Version().Revision(), res)
+	return false
+}
+
+// settle records a result and tells the subscribers. It unlocks.
+func (lst *Lists) settle(name lists.Name, revision uint64, res spread.Result) {
+	var tell []func(lists.Name)
+	switch res := res.(type) {
+	case spread.Adopted:
+		delete(lst.refusals, name)
+		tell = lst.subscribers
+		lst.scope.Gauge("listRevision", "list", string(name)).Update(float64(revision))
+		lst.log.Info("list in force", zap.String("list", string(name)), zap.Uint64("revision", revision))
+	case spread.Refused:
+		lst.refuse(name, revision, res.Err)
+	case spread.Older:
+		lst.scope.Counter("listsOlder", "list", string(name)).Inc(1)
+	case spread.Kept:
+	}
+	lst.mu.Unlock()
+	for _, fn := range tell {
+		fn(name)
+	}
+}
+
+func (lst *Lists) refuse(name lists.Name, revision uint64, err error) {
+	lst.scope.Counter("listsRefused", "list", string(name)).Inc(1)
+	if lst.refusals[name].revision == revision {
+		return
+	}
+	lst.refusals[name] = Refusal{revision, err}
+	lst.log.Warn("list refused", zap.String("list", string(name)), zap.Uint64("revision", revision), zap.Error(err))
+}
+
+// Confirm records that a reader compared the lists with the platform.
+func (lst *Lists) Confirm(at time.Time) {
+	lst.mu.Lock()
+	defer lst.mu.Unlock()
+	lst.store.Confirm(at)
+}
+
+// Confirmed returns when a reader last compared the lists with the platform.
+func (lst *Lists) Confirmed() time.Time {
+	lst.mu.Lock()
+	defer lst.mu.Unlock()
+	return lst.store.Confirmed()
+}
+
+// Complete reports whether every list is in force.
+func (lst *Lists) Complete() bool {
+	lst.mu.Lock()
+	defer lst.mu.Unlock()
+	return lst.store.Complete()
+}
+
+// Version returns the version of a list in force.
+func (lst *Lists) Version(name lists.Name) spread.Version {
+	lst.mu.Lock()
+	defer lst.mu.Unlock()
+	return lst.store.Version(name)
+}
+
+// UpdateFor returns the update for a peer that has a version of a list.
+func (lst *Lists) UpdateFor(name lists.Name, have spread.Version) (spread.Update, bool) {
+	lst.mu.Lock()
+	defer lst.mu.Unlock()
+	return lst.store.UpdateFor(name, have)
+}
+
+// State returns what is in force of a list.
+func (lst *Lists) State(name lists.Name) State {
+	lst.mu.Lock()
+	defer lst.mu.Unlock()
+	sta := State{version: lst.store.Version(name), since: lst.store.Since(name)}
+	if ref, ok := lst.refusals[name]; ok && ref.revision > sta.version.Revision() {
+		sta.refusal = &ref
+	}
+	return sta
+}
+
+func (lst *Lists) list(name lists.Name) lists.List {
+	lst.mu.Lock()
+	defer lst.mu.Unlock()
+	return lst.store.List(name)
+}
+
+// Customers returns the customers in force, nil when there are none.
+func (lst *Lists) Customers() *lists.Customers {
+	cus, _ := lst.list(lists.CustomersName).(*lists.Customers)
+	return cus
+}
+
+// Plans returns the plans in force, nil when there are none.
+func (lst *Lists) Plans() *lists.Plans {
+	pls, _ := lst.list(lists.PlansName).(*lists.Plans)
+	return pls
+}
+
+// VMs returns the VMs in force, nil when there are none.
+func (lst *Lists) VMs() *lists.VMs {
+	vms, _ := lst.list(lists.VMsName).(*lists.VMs)
+	return vms
+}
+
+// Keys returns the token keys in force, nil when there are none.
+func (lst *Lists) Keys() *lists.Keys {
+	kys, _ := lst.list(lists.KeysName).(*lists.Keys)
+	return kys
+}
+
+// Check parses a list as the process would, without putting it in force.
+func Check(name lists.Name, raw []byte) *text.Faults {
+	_, err := lists.Parse(name, raw)
+	if err == nil {
+		return nil
+	}
+	if fs, ok := err.(*text.Faults); ok {
+		return fs
+	}
+	fs := text.NewFaults(string(name))
+	fs.Add(0, err.Error())
+	return fs
+}
--- /dev/null
+++ b/io/peer/codec.go
@@ -0,0 +1,99 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"compress/flate"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"lagoondrum/core/lists"
+	"lagoondrum/core/spread"
+	"lagoondrum/core/text"
+	"lagoondrum/io/peer/internal/wire"
+)
+
+// maxMessageBytes bounds one message; a whole list compressed fits.
+const maxMessageBytes = text.MaxBytes + 64<<10
+
+const sectionEnd = "\x00"
+
+// conn reads and writes steps on one yamux stream. Every call has a deadline.
+type conn struct {
+	stream net.Conn
+	reader *bufio.Reader
+}
+
+func newConn(stream net.Conn) *conn {
+	return &conn{stream: stream, reader: bufio.NewReader(stream)}
+}
+
+func (con *conn) send(stp *wire.Step, deadline time.Time) error {
+	if err := con.stream.SetWriteDeadline(deadline); err != nil {
+		return errors.WithStack(err)
+	}
+	_, err := protodelim.MarshalTo(con.stream, stp)
+	return errors.WithStack(err)
+}
+
+func (con *conn) receive(deadline time.Time) (*wire.Step, error) {
+	if err := con.stream.SetReadDeadline(deadline); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	stp := &wire.Step{}
+	err := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}.UnmarshalFrom(con.reader, stp)
+	return stp, errors.WithStack(err)
+}
+
+func (con *conn) close() { _ = con.stream.Close() }
+
+func encodeVersion(name lists.Name, ver spread.Version) *wire.Version {
+	return &wire.Version{Name: string(name), Revision: ver.Revision(), Hash: ver.Hash()}
+}
+
+func decodeVersion(ver *wire.Version) spread.Version {
+	return spread.NewVersion(ver.GetRevision(), ver.GetHash())
+}
+
+func encodeUpdate(upd spread.Update) (*wire.Update, error) {
+	var buf bytes.Buffer
+	out, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	for _, body := range upd.Changed() {
+		if _, err := io.WriteString(out, body+sectionEnd); err != nil {
+			return nil, errors.WithStack(err)
+		}
+	}
+	if err := out.Close(); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return &wire.Update{
+		Version: encodeVersion(upd.Name(), upd.Version()),
+		Base:    encodeVersion(upd.Name(), upd.Base()),
+		Changed: buf.Bytes(),
+		Removed: upd.Removed(),
+	}, nil
+}
+
+func decodeUpdate(upd *wire.Update) (spread.Update, error) {
+	inflated := flate.NewReader(bytes.NewReader(upd.GetChanged()))
+	raw, err := io.ReadAll(io.LimitReader(inflated, 2*text.MaxBytes))
+	if err != nil {
+		return spread.Update{}, errors.WithStack(err)
+	}
+	changed := strings.Split(string(raw), sectionEnd)
+	return spread.NewUpdate(
+		lists.Name(upd.GetVersion().GetName()),
+		decodeVersion(upd.GetBase()),
+		decodeVersion(upd.GetVersion()),
+		changed[:len(changed)-1],
+		upd.GetRemoved(),
+	), nil
+}
--- /dev/null
+++ b/io/proc/proc.go
@@ -0,0 +1,204 @@
+// Package proc assembles the processes of lagoondrum from their parts under one
+// supervisor tree each.
+package proc
+
+import (
+	"context"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+
+	"lagoondrum/core/lists"
+	"lagoondrum/core/table"
+	"lagoondrum/core/token"
+	"lagoondrum/io/admin"
+	"lagoondrum/io/agent"
+	"lagoondrum/io/conf"
+	"lagoondrum/io/entry"
+	"lagoondrum/io/feed"
+	"lagoondrum/io/peer"
+	"lagoondrum/io/stats"
+	"lagoondrum/io/trust"
+)
+
+// Timing of the start.
+const (
+	bootTimeout  = 3 * time.Second // A process that no peer answers serves after this long.
+	bootInterval = 20 * time.Millisecond
+	lingerTime   = time.Second // A balancer goes on forwarding this long after SIGTERM.
+)
+
+// base is what every process of the system has.
+type base struct {
+	set   *conf.Settings
+	idn   *trust.Identity
+	scope *stats.Scope
+	log   *zap.Logger
+	lists *feed.Lists
+	mesh  *peer.Mesh
+	sup   *suture.Supervisor
+	ready chan struct{}
+}
+
+func newBase(set *conf.Settings) (*base, error) {
+	idn, err := trust.Load(trust.NewFiles(set.TLSFiles()))
+	if err != nil {
+		return nil, err
+	}
+	log, err := newLogger(set)
+	if err != nil {
+		return nil, err
+	}
+	scope := stats.New(set.Name())
+	bas := &base{set: set, idn: idn, scope: scope, log: log, ready: make(chan struct{})}
+	bas.lists = feed.New(scope, log)
+	bas.sup = suture.New(set.Name(), suture.Spec{EventHook: bas.logEvent})
+	return bas, nil
+}
+
+func newLogger(set *conf.Settings) (*zap.Logger, error) {
+	cfg := zap.NewProductionConfig()
+	cfg.DisableCaller = true
+	cfg.DisableStacktrace = true
+	level, err := zap.ParseAtomicLevel(set.LogLevel())
+	if err != nil {
+		return nil, err
+	}
+	cfg.Level = level
+	log, err := cfg.Build()
+	if err != nil {
+		return nil, err
+	}
+	return log.With(zap.String("process", set.Name())), nil
+}
+
+func (bas *base) logEvent(evt suture.Event) {
+	bas.scope.Counter("supervisorEvents").Inc(1)
+	bas.log.Warn("supervisor", zap.String("event", evt.String()))
+}
+
+// connect opens the mesh and the readers. The worker may be nil.
+func (bas *base) connect(worker peer.Worker) error {
+	bas.mesh = peer.New(bas.set.Place(), bas.idn, bas.lists, bas.set.Seeds(), worker, bas.scope, bas.log)
+	if err := bas.mesh.Listen(); err != nil {
+		return err
+	}
+	bas.lists.Subscribe(bas.mesh.Changed)
+	bas.mesh.Supervise(bas.sup)
+	for _, rdr := range feed.NewReaders(bas.lists, bas.set.Place(), bas.set.Platform()) {
+		bas.sup.Add(rdr)
+	}
+	return nil
+}
+
+// boot waits until every list is in force and a peer was asked, so that a stale
+// platform alone is not trusted while there is somebody who knows better.
+func (bas *base) boot(ctx context.Context) error {
+	deadline := time.Now().Add(bootTimeout)
+	tick := time.NewTicker(bootInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-tick.C:
+			if bas.lists.Complete() && (bas.mesh.Heard() || now.After(deadline)) {
+				close(bas.ready)
+				bas.log.Info("ready")
+				return nil
+			}
+		}
+	}
+}
+
+func (bas *base) close() {
+	bas.mesh.Close()
+	_ = bas.scope.Close()
+	_ = bas.log.Sync()
+}
+
+// RunBalancer runs a balancer until ctx ends.
+func RunBalancer(ctx context.Context, set *conf.Settings) error {
+	bas, err := newBase(set)
+	if err != nil {
+		return err
+	}
+	ent, err := entry.New(set.EntryPort(), set.Place(), bas.scope, bas.log)
+	if err != nil {
+		return err
+	}
+	tables := &tableMaker{ent: ent, place: set.Place(), lists: bas.lists, ring: token.NewRing()}
+	bas.lists.Subscribe(tables.changed)
+	if err := bas.connect(nil); err != nil {
+		return err
+	}
+	ent.Supervise(bas.sup)
+	bas.sup.Add(admin.New(set, bas.lists, bas.scope, admin.Balancer{Entry: ent}, bas.ready))
+	supCtx, cancel := context.WithCancel(context.Background())
+	done := bas.sup.ServeBackground(supCtx)
+	err = bas.boot(ctx)
+	if err == nil {
+		<-ctx.Done()
+		bas.log.Info("stopping")
+		time.Sleep(lingerTime)
+	}
+	ent.Close()
+	bas.close()
+	cancel()
+	<-done
+	return nil
+}
+
+// tableMaker puts a new table in force whenever a list has changed.
+type tableMaker struct {
+	ent   *entry.Entry
+	place table.Place
+	lists *feed.Lists
+	ring  *token.Ring
+}
+
+func (tbm *tableMaker) changed(lists.Name) {
+	if kys := tbm.lists.Keys(); kys != nil {
+		tbm.ring = tbm.ring.With(kys, time.Now())
+	}
+	tbm.ent.SetTable(table.New(tbm.lists.Plans(), tbm.lists.VMs(), tbm.place), tbm.ring)
+}
+
+// RunAgent runs an agent until ctx ends and its drain is over.
+func RunAgent(ctx context.Context, set *conf.Settings) error {
+	bas, err := newBase(set)
+	if err != nil {
+		return err
+	}
+	agt, err := agent.New(set.Place(), set.Service(), set.Upstream(), bas.lists, bas.scope, bas.log)
+	if err != nil {
+		return err
+	}
+	bas.lists.Subscribe(agt.SetLists)
+	if err := bas.connect(agt.Worker()); err != nil {
+		return err
+	}
+	agt.SetMesh(bas.mesh)
+	bas.sup.Add(admin.New(set, bas.lists, bas.scope, admin.Agent{Agent: agt}, bas.ready))
+	supCtx, cancel := context.WithCancel(context.Background())
+	done := bas.sup.ServeBackground(supCtx)
+	if err = bas.boot(ctx); err == nil {
+		err = bas.serveAgent(ctx, agt)
+	}
+	agt.Close()
+	bas.close()
+	cancel()
+	<-done
+	return err
+}
+
+func (bas *base) serveAgent(ctx context.Context, agt *agent.Agent) error {
+	if err := agt.Supervise(bas.sup, bas.idn); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	agt.Drain(bas.set.DrainDeadline(time.Now()))
+	<-agt.Stopped()
+	return nil
+}
--- /dev/null
+++ b/io/stand/certs.go
@@ -0,0 +1,101 @@
+// Package stand holds the stand-ins for what surrounds the system: the
+// platform, upstreams, the fabric and an authority. Product processes do not
+// use it.
+package stand
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"lagoondrum/io/trust"
+)
+
+const certLife = 24 * time.Hour
+
+// Authority signs certificates.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	dir  string
+}
+
+// NewAuthority makes an authority and writes its certificate to dir/ca.pem.
+func NewAuthority(dir string) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	tmpl := template("lagoondrum stand-in authority")
+	tmpl.IsCA = true
+	tmpl.BasicConstraintsValid = true
+	tmpl.KeyUsage |= x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	aut := &Authority{cert: cert, key: key, dir: dir}
+	return aut, writePEM(aut.file("ca"), "CERTIFICATE", der)
+}
+
+// Issue writes a certificate for a common name, and for DNS names, to
+// dir/NAME.pem and its key to dir/NAME.key.pem.
+func (aut *Authority) Issue(name string, dnsNames ...string) error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	tmpl := template(name)
+	tmpl.DNSNames = dnsNames
+	tmpl.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, aut.cert, &key.PublicKey, aut.key)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	raw, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if err := writePEM(aut.file(name), "CERTIFICATE", der); err != nil {
+		return err
+	}
+	return writePEM(aut.file(name+".key"), "PRIVATE KEY", raw)
+}
+
+// Files returns the identity files of an issued name.
+func Files(dir, name string) trust.Files {
+	at := func(base string) string { return filepath.Join(dir, base+".pem") }
+	return trust.NewFiles(at(name), at(name+".key"), at("ca"), at("ca"))
+}
+
+func (aut *Authority) file(name string) string { return filepath.Join(aut.dir, name+".pem") }
+
+func template(name string) *x509.Certificate {
+	serial, _ := rand.Int(rand.Reader, big.NewInt(1<<62)) // The reader never fails.
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-time.Hour),
+		NotAfter:     now.Add(certLife),
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+	}
+}
+
+func writePEM(file, kind string, der []byte) error {
+	raw := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	return errors.WithStack(os.WriteFile(file, raw, 0o600))
+}
