--- a/io/stand/scene.go
+++ b/io/stand/scene.go
@@ -44,10 +44,9 @@
 
 // The addresses that callers use, by plan.
 var (
-	GoldFeed    = netip.MustParseAddr("127.20.0.1")
-	SilverFeed  = netip.MustParseAddr("127.20.0.2")
-	GoldPhoto   = netip.MustParseAddr("127.20.0.3")
-	SceneTokens = "all:everything"
+	GoldFeed   = netip.MustParseAddr("127.20.0.1")
+	SilverFeed = netip.MustParseAddr("127.20.0.2")
+	GoldPhoto  = netip.MustParseAddr("127.20.0.3")
 )
 
 // NewScene returns a scene with its files in dir, on ports from a base.
@@ -265,3 +264,26 @@
 	}
 	return strings.Join(seeds, ",")
 }
+
+// Dir returns where the scene's files are.
+func (scn *Scene) Dir() string { return scn.dir }
+
+// AddressOf returns the address in a customer's plan.
+func AddressOf(customer string) netip.Addr {
+	switch {
+	case customer == "engraver":
+		return GoldPhoto
+	case customerPlans[customer] == "silver":
+		return SilverFeed
+	default:
+		return GoldFeed
+	}
+}
+
+// ServiceOf returns the service that a customer uses.
+func ServiceOf(customer string) string {
+	if customer == "engraver" {
+		return PhotoService
+	}
+	return FeedService
+}
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -11,7 +11,7 @@
   rm -rf "$dir"
 }
 trap finish EXIT
-start() { "$@" >>"$dir/log" 2>&1 & pids+=($!); }
+start() { "$@" >>"$dir/log" 2>&1 & pids+=($!); disown; }
 
 "$bin/standin" --dir "$dir" scene
 start "$bin/standin" --dir "$dir" platform
