--- a/core/lists/plans.go
+++ b/core/lists/plans.go
@@ -131,6 +131,9 @@
 func (pls *Plans) checkShares(fs *text.Faults) {
 	sums := make(map[string]float64)
 	for _, gr := range pls.grants {
+		if !(gr.share > 0 && gr.share <= 1) {
+			continue // It is a fault of its own.
+		}
 		before := sums[gr.service]
 		sums[gr.service] += gr.share
 		if before <= 1+shareTolerance && sums[gr.service] > 1+shareTolerance {
--- /dev/null
+++ b/core/token/token_test.go
@@ -0,0 +1,85 @@
+package token_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lagoondrum/core/lists"
+	"lagoondrum/core/token"
+)
+
+var now = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func keysOf(t testing.TB, ids ...int) *lists.Keys {
+	t.Helper()
+	raw := ""
+	for _, id := range ids {
+		raw += fmt.Sprintf("[key %d]\nsecret = %064x\n", id, id)
+	}
+	kys, err := lists.ParseKeys([]byte(raw + "[end]\n"))
+	assert.NilError(t, err)
+	return kys
+}
+
+func sealed(t testing.TB, rng *token.Ring, at time.Time) (token.Token, []byte) {
+	t.Helper()
+	tok := token.New(netip.MustParseAddrPort("10.1.2.3:7842"), lists.IDOf("feed"), 9, [3]byte{1, 2, 3})
+	cid := make([]byte, token.Bytes)
+	assert.NilError(t, rng.Seal(tok, at, cid))
+	return tok, cid
+}
+
+func TestAnyBalancerOpensAToken(t *testing.T) {
+	tok, cid := sealed(t, token.NewRing().With(keysOf(t, 1), now), now)
+	got, ok := token.NewRing().With(keysOf(t, 1), now).Open(cid)
+	assert.Assert(t, ok)
+	assert.Equal(t, got.Agent(), tok.Agent())
+	assert.Equal(t, got.Service(), tok.Service())
+}
+
+func TestAlteredTokenIsRefused(t *testing.T) {
+	rng := token.NewRing().With(keysOf(t, 1), now)
+	_, cid := sealed(t, rng, now)
+	for at := range cid {
+		t.Run(fmt.Sprintf("byte %d", at), func(t *testing.T) {
+			bad := append([]byte(nil), cid...)
+			bad[at] ^= 0x10
+			_, ok := rng.Open(bad)
+			assert.Assert(t, !ok)
+		})
+	}
+}
+
+func TestRotationKeepsOpenFlows(t *testing.T) {
+	old := token.NewRing().With(keysOf(t, 1), now)
+	_, cid := sealed(t, old, now)
+	rotated := old.With(keysOf(t, 1, 2), now).With(keysOf(t, 2), now)
+	_, ok := rotated.Open(cid)
+	assert.Assert(t, ok, "a key that is no longer published opens no token")
+	later := now.Add(token.MintDelay)
+	_, fresh := sealed(t, old.With(keysOf(t, 1, 2), now), later)
+	assert.Equal(t, fresh[0], byte(2))
+}
+
+func TestNewKeyWaitsUntilItIsKnownEverywhere(t *testing.T) {
+	first := now.Add(token.MintDelay)
+	rng := token.NewRing().With(keysOf(t, 1), now).With(keysOf(t, 1, 2), first)
+	_, cid := sealed(t, rng, first.Add(token.MintDelay-time.Second))
+	assert.Equal(t, cid[0], byte(1))
+}
+
+func FuzzOpen(f *testing.F) {
+	rng := token.NewRing().With(keysOf(f, 1), now)
+	_, cid := sealed(f, rng, now)
+	f.Add(cid)
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if tok, ok := rng.Open(raw); ok {
+			assert.Assert(t, tok.Agent().IsValid())
+		}
+	})
+}
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -87,6 +87,7 @@
 func (adm *Admin) addRoutes(server *rest.Server) {
 	routes := []rest.Route{
 		{Method: http.MethodGet, Path: "/v1/health", Handler: adm.health},
+		{Method: http.MethodGet, Path: "/v1/lists", Handler: adm.listsInForce},
 		{Method: http.MethodGet, Path: "/metrics", Handler: adm.scope.ServeHTTP},
 	}
 	server.AddRoutes(routes)
--- a/io/stand/fabric.go
+++ b/io/stand/fabric.go
@@ -15,6 +15,8 @@
 	mu    sync.Mutex
 	ports []int
 	lost  map[string]bool // Local addresses whose packets vanish.
+
+	opened []string
 }
 
 // NewFabric returns a fabric in front of the balancers that listen on ports.
@@ -27,23 +29,15 @@
 	fab.ports = ports
 }
 
-// Forget makes the fabric lose the packets of every path that is open now, both
-// ways, as a device does that lost track of them. New paths work.
-func (fab *Fabric) Forget(paths ...string) {
-	fab.mu.Lock()
-	defer fab.mu.Unlock()
-	for _, path := range paths {
-		fab.lost[path] = true
-	}
-}
-
 // Dial opens a caller's socket behind the fabric.
 func (fab *Fabric) Dial() (net.PacketConn, error) {
 	udp, err := net.ListenUDP("udp4", nil)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	return &sprayed{PacketConn: udp, fabric: fab, local: udp.LocalAddr().String()}, nil
+	local := udp.LocalAddr().String()
+	fab.noteOpened(local)
+	return &sprayed{PacketConn: udp, fabric: fab, local: local}, nil
 }
 
 // sprayed is a caller's socket. It is told apart by its local address.
@@ -83,3 +77,20 @@
 	}
 	return fab.ports[rand.IntN(len(fab.ports))], true
 }
+
+// ForgetAll makes the fabric lose track of every path that is open now.
+func (fab *Fabric) ForgetAll() {
+	fab.mu.Lock()
+	defer fab.mu.Unlock()
+	for _, path := range fab.opened {
+		fab.lost[path] = true
+	}
+	fab.opened = nil
+}
+
+func (fab *Fabric) noteOpened(path string) {
+	fab.mu.Lock()
+	defer fab.mu.Unlock()
+	delete(fab.lost, path) // The port may have been another path's before.
+	fab.opened = append(fab.opened, path)
+}
--- a/io/stand/upstream.go
+++ b/io/stand/upstream.go
@@ -144,6 +144,18 @@
 		panic(http.ErrAbortHandler)
 	default:
 		fmt.Fprintf(rw, "%s ran %s of %d bytes\n", ups.service, req.Header.Get(OrderField), len(body))
+		ups.answerSlowly(rw, req)
+	}
+}
+
+// answerSlowly adds the answer parts that the query asks for, one each 100 ms.
+func (ups *Upstream) answerSlowly(rw http.ResponseWriter, req *http.Request) {
+	parts, _ := strconv.Atoi(req.URL.Query().Get("parts"))
+	ctl := http.NewResponseController(rw)
+	for num := range parts {
+		_ = ctl.Flush() // A caller that is gone is seen by the agent.
+		time.Sleep(lineInterval)
+		fmt.Fprintf(rw, "part %d\n", num)
 	}
 }
 
