Let the second choice hand a first flight back, and pass work on before it waits

On the same events, the balancers' last words are stale in a burst, and the first choice does not count handshakes under way.

Change: the second choice compares itself with the first one's own word and may hand back once; agents count first flights from their first packet; work goes to a peer with a free slot as soon as it would wait here.

--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -30,6 +30,7 @@
 	PassedFlag                   // An agent passed the packet on, and no other may.
 	HopFlag                      // Another balancer forwarded the packet already.
 	LeavingFlag                  // The sending agent takes no new flows.
+	BackFlag                     // The second choice handed the packet back, and the first keeps it.
 )
 
 // HeaderBytes is the length of the fixed header.
@@ -90,10 +91,18 @@
 	return hdr
 }
 
-// Pass returns the header as one agent passes it to another.
-func (hdr Header) Pass(balancer netip.AddrPort) Header {
+// Pass returns the header as the first choice passes it to the second, with the
+// first one's own load and the balancer that the packet came through.
+func (hdr Header) Pass(balancer netip.AddrPort, own Load) Header {
 	hdr.flags |= PassedFlag
 	hdr.agent = balancer
+	hdr.load = own
+	return hdr
+}
+
+// Back returns a passed header as the second choice hands it back.
+func (hdr Header) Back() Header {
+	hdr.flags |= BackFlag
 	return hdr
 }
 
--- a/core/frame/frame_test.go
+++ b/core/frame/frame_test.go
@@ -17,7 +17,7 @@
 		"forward": frame.Forward(caller, address, 7),
 		"first":   frame.Forward(caller, address, 7).WithSecond(agent, frame.LoadOf(5, 10, 1, 4)),
 		"detour":  frame.Forward(caller, address, 7).Detour(agent),
-		"passed":  frame.Forward(caller, address, 7).Pass(agent),
+		"passed":  frame.Forward(caller, address, 7).Pass(agent, 9),
 		"return":  frame.Return(caller, address, frame.LoadOf(1, 2, 3, 4), true),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/proof/flow_test.go
+++ b/core/proof/flow_test.go
@@ -331,16 +331,16 @@
 				hdr := frame.Forward(caller, flowAddresses["plaque-feed"], 1).
 					WithSecond(flowAgent(1), frame.LoadOf(loads[0], 2000, 0, 4))
 				self := steer.NewSelf(frame.LoadOf(loads[1], 2000, 0, 4), rapid.Bool().Draw(t, "refusing"))
-				target := str.Decide(fl, hdr, self, now)
+				target := str.Decide(fl, hdr, flowAgent(0), self, now)
 				if at, ok := begun[fl]; !ok || now.Sub(at) >= steer.RememberFor {
 					begun[fl], went[fl] = now, target
 				}
 				if went[fl] != target {
 					t.Fatalf("flight %v went to %s and then to %s", fl, went[fl], target)
 				}
-				passed := str.Decide(fl, hdr.Pass(flowAgent(2)), self, now)
-				if passed.IsValid() {
-					t.Fatalf("a passed flight was passed again")
+				back := str.Decide(fl, hdr.Pass(flowAgent(2), self.Load()).Back(), flowAgent(1), self, now)
+				if back.IsValid() {
+					t.Fatalf("a flight that came back was passed again")
 				}
 			},
 			"pass": func(t *rapid.T) {
--- a/core/proof/main_test.go
+++ b/core/proof/main_test.go
@@ -32,13 +32,13 @@
 	said   string
 }
 
-func (rec *recorder) Helper()                        {}
-func (rec *recorder) Name() string                   { return rec.name }
+func (rec *recorder) Helper()                         {}
+func (rec *recorder) Name() string                    { return rec.name }
 func (rec *recorder) Logf(format string, args ...any) {}
-func (rec *recorder) Log(args ...any)                {}
-func (rec *recorder) Skipf(string, ...any)           { runtime.Goexit() }
-func (rec *recorder) Skip(...any)                    { runtime.Goexit() }
-func (rec *recorder) SkipNow()                       { runtime.Goexit() }
+func (rec *recorder) Log(args ...any)                 {}
+func (rec *recorder) Skipf(string, ...any)            { runtime.Goexit() }
+func (rec *recorder) Skip(...any)                     { runtime.Goexit() }
+func (rec *recorder) SkipNow()                        { runtime.Goexit() }
 func (rec *recorder) Errorf(format string, args ...any) {
 	rec.failed = true
 	rec.said = fmt.Sprintf(format, args...)
--- a/core/steer/steer.go
+++ b/core/steer/steer.go
@@ -1,5 +1,5 @@
-// Package steer decides at an agent whether it keeps a new flow or passes its
-// first flight once to the second choice.
+// Package steer decides at an agent whether it keeps a new flow or hands its
+// first flight to the other choice.
 package steer
 
 import (
@@ -58,10 +58,12 @@
 // Refusing reports whether the agent would rather not take new flows.
 func (sel Self) Refusing() bool { return sel.refusing }
 
-// Decide returns the agent to pass a first flight to, or zero to keep it. The
-// header is the one the balancer sent.
-func (str *Steer) Decide(fl Flight, hdr frame.Header, self Self, now time.Time) netip.AddrPort {
-	if hdr.Has(frame.PassedFlag) {
+// Decide returns the agent to hand a first flight to, or zero to keep it. The
+// header is the one that came; from is who sent it. The first choice compares
+// itself with what the balancer last heard of the second; the second compares
+// itself with the first's own word, and hands back at most once.
+func (str *Steer) Decide(fl Flight, hdr frame.Header, from netip.AddrPort, self Self, now time.Time) netip.AddrPort {
+	if hdr.Has(frame.BackFlag) {
 		return netip.AddrPort{}
 	}
 	if dec, ok := str.flights[fl]; ok && now.Before(dec.deadline) {
@@ -71,7 +73,7 @@
 	if len(str.flights) >= MaxFlights {
 		return netip.AddrPort{}
 	}
-	target := choose(hdr, self)
+	target := choose(hdr, from, self)
 	str.flights[fl] = decision{target, now.Add(RememberFor)}
 	str.order = append(str.order, fl)
 	return target
@@ -80,13 +82,16 @@
 // Flights returns how many decisions are remembered.
 func (str *Steer) Flights() int { return len(str.flights) }
 
-func choose(hdr frame.Header, self Self) netip.AddrPort {
-	second := hdr.Agent()
-	if second.Port() == 0 {
+func choose(hdr frame.Header, from netip.AddrPort, self Self) netip.AddrPort {
+	other := hdr.Agent()
+	if hdr.Has(frame.PassedFlag) {
+		other = from
+	}
+	if other.Port() == 0 {
 		return netip.AddrPort{}
 	}
-	if self.refusing || fuller(self.load, hdr.Load()) {
-		return second
+	if self.refusing && !hdr.Has(frame.PassedFlag) || fuller(self.load, hdr.Load()) {
+		return other
 	}
 	return netip.AddrPort{}
 }
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -60,8 +60,10 @@
 	ring    atomic.Pointer[token.Ring]
 	serial  atomic.Uint32
 	size    atomic.Int64
-	loadNow atomic.Uint32
 
+	work     atomic.Int64
+	limit    atomic.Int64
+	accepted atomic.Int64 // Connections begun since the last tick.
 	refusing atomic.Bool
 	stopOnce sync.Once
 	stopped  chan struct{}
@@ -146,7 +148,7 @@
 		return err
 	}
 	reset := quic.StatelessResetKey(key)
-	transport := &quic.Transport{Conn: agt.conn, ConnectionIDGenerator: agt, StatelessResetKey: &reset}
+	transport := &quic.Transport{Conn: agt.conn, ConnectionIDGenerator: agt, StatelessResetKey: &reset, ConnContext: agt.noteAccepted}
 	agt.server = &http3.Server{Handler: agt.newHandler(), ConnContext: agt.noteFlow}
 	listener, err := transport.ListenEarly(http3.ConfigureTLSConfig(idn.ForCallers()), quicConfig())
 	if err != nil {
@@ -176,8 +178,6 @@
 }
 
 func (agt *Agent) noteFlow(ctx context.Context, con *quic.Conn) context.Context {
-	agt.open.flows.Add(1)
-	context.AfterFunc(con.Context(), func() { agt.open.flows.Add(-1) })
 	return context.WithValue(ctx, flowKey{}, &flow{conn: con})
 }
 
@@ -196,18 +196,32 @@
 // ConnectionIDLen returns the length of every connection ID.
 func (agt *Agent) ConnectionIDLen() int { return token.Bytes }
 
-// self returns the agent's load as it was at the last tick.
+// self returns the agent's state: flows as of now, first flights kept since the
+// last tick among them, and work as of the last tick.
 func (agt *Agent) self(time.Time) steer.Self {
-	return steer.NewSelf(frame.Load(agt.loadNow.Load()), agt.refusing.Load())
+	begun := max(agt.conn.kept.Load()-agt.accepted.Load(), 0)
+	flows, size := int(agt.open.flows.Load()+begun), int(agt.size.Load())
+	load := frame.LoadOf(flows, size, int(agt.work.Load()), int(agt.limit.Load()))
+	return steer.NewSelf(load, agt.refusing.Load())
 }
 
 func (agt *Agent) refreshSelf(now time.Time) {
 	running, queued, limit := agt.worker.slots.use()
-	flows, size := int(agt.open.flows.Load()), int(agt.size.Load())
-	agt.loadNow.Store(uint32(frame.LoadOf(flows, size, running+queued, max(limit, 1))))
+	agt.work.Store(int64(running + queued))
+	agt.limit.Store(int64(max(limit, 1)))
+	agt.conn.kept.Store(0)
+	agt.accepted.Store(0)
 	agt.refusing.Store(agt.drain.leaving() || agt.worker.slots.refusing(now))
 }
 
+// noteAccepted counts a connection from its first packet on.
+func (agt *Agent) noteAccepted(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+	agt.open.flows.Add(1)
+	agt.accepted.Add(1)
+	context.AfterFunc(ctx, func() { agt.open.flows.Add(-1) })
+	return ctx, nil
+}
+
 // Drain starts the way out; Stopped tells its end, at deadline at the latest.
 func (agt *Agent) Drain(deadline time.Time) { agt.drain.signal(time.Now(), deadline) }
 
--- a/io/agent/conn.go
+++ b/io/agent/conn.go
@@ -44,6 +44,7 @@
 	count  int
 	next   int
 	steer  *steer.Steer
+	kept   atomic.Int64 // First flights kept since the last tick.
 	flows  map[frame.Header]*flowAddr
 
 	mu      sync.Mutex
@@ -134,20 +135,29 @@
 	return packet, con.addrOf(hdr)
 }
 
-// pass hands a first flight to the second choice when that is decided, and
-// reports whether it did.
-func (con *conn) pass(balancer netip.AddrPort, hdr frame.Header, data []byte, now time.Time) bool {
+// pass hands a first flight to the other choice when that is decided, and
+// reports whether it did. A kept one counts as a flow until the next tick.
+func (con *conn) pass(from netip.AddrPort, hdr frame.Header, data []byte, now time.Time) bool {
 	pkt, ok := frame.ParsePacket(data[frame.HeaderBytes:])
 	if !ok {
 		return false
 	}
 	fl := steer.NewFlight(hdr.Caller(), xxhash.Sum64(pkt.CID()))
-	target := con.steer.Decide(fl, hdr, con.self(now), now)
+	self := con.self(now)
+	before := con.steer.Flights()
+	target := con.steer.Decide(fl, hdr, from, self, now)
 	if !target.IsValid() {
+		if con.steer.Flights() > before {
+			con.kept.Add(1)
+		}
 		return false
 	}
 	con.meter.passed.Inc(1)
-	hdr.Pass(balancer).Put(data)
+	if hdr.Has(frame.PassedFlag) {
+		hdr.Back().Put(data)
+	} else {
+		hdr.Pass(from, self.Load()).Put(data)
+	}
 	con.outbox.Add(data, target, netip.Addr{})
 	con.meter.unsent.Inc(int64(con.udp.Flush(con.outbox)))
 	return true
--- a/io/agent/work.go
+++ b/io/agent/work.go
@@ -163,7 +163,7 @@
 		return wkr.atPeers(ctx, req, clm, true)
 	}
 	running, queued, limit := wkr.slots.use()
-	if running+queued >= 2*max(limit, 1) {
+	if running+queued >= limit {
 		if rsp := wkr.atPeers(ctx, req, clm, false); rsp.Outcome != relay.NotRun {
 			return rsp
 		}
