--- a/cmd/lagoondrum/main.go
+++ b/cmd/lagoondrum/main.go
@@ -4,43 +4,46 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/alecthomas/kingpin/v2"
+	"lagoondrum/core/text"
+	"lagoondrum/io/tool"
+)
 
-	"lagoondrum/io/conf"
-	"lagoondrum/io/proc"
+// The exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+	exitRefused = 3
 )
 
 // version is set when a release is built.
 var version = "0.1.0"
 
 func main() {
-	app := kingpin.New("lagoondrum", "A layer-4 load balancer for long sessions and bursts of work.")
-	app.Version(version)
-	settings := app.Flag("settings", "Settings file (INI); without it every setting has its default.").Short('s').String()
-	balancer := app.Command("balancer", "Run a balancer on an entry VM.")
-	agent := app.Command("agent", "Run the agent beside an upstream.")
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	var err error
-	cmd := kingpin.MustParse(app.Parse(os.Args[1:]))
-	set, serr := conf.Load(*settings)
-	if serr != nil {
-		fmt.Fprintln(os.Stderr, serr)
-		os.Exit(3)
-	}
-	switch cmd {
-	case balancer.FullCommand():
-		err = proc.RunBalancer(ctx, set)
-	case agent.FullCommand():
-		err = proc.RunAgent(ctx, set)
+	cmds := newCommands(version)
+	if err := cmds.run(ctx, os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "lagoondrum:", err)
+		os.Exit(exitCode(err))
 	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+}
+
+func exitCode(err error) int {
+	var usage *usageError
+	var refused *tool.RefusedError
+	var faults *text.Faults
+	switch {
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &refused), errors.As(err, &faults):
+		return exitRefused
+	default:
+		return exitFailure
 	}
 }
--- a/core/proof/flow_test.go
+++ b/core/proof/flow_test.go
@@ -63,7 +63,6 @@
 
 type flowBalancer struct {
 	ring    *token.Ring
-	keysAt  int
 	vmsAt   int
 	router  *route.Router
 	keysDue time.Time
--- a/core/proof/spread_test.go
+++ b/core/proof/spread_test.go
@@ -30,12 +30,11 @@
 // spreadMachine has operators edit, a platform go stale, and processes
 // exchange updates over a network that loses, doubles and reorders them.
 type spreadMachine struct {
-	rules    storeRules
-	stores   []*spread.Store
-	edits    []string // Valid texts; revision i+1 is edit i.
-	mail     []letter
-	seen     []uint64
-	accepted uint64
+	rules  storeRules
+	stores []*spread.Store
+	edits  []string // Valid texts; revision i+1 is edit i.
+	mail   []letter
+	seen   []uint64
 }
 
 type letter struct {
--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -57,7 +57,7 @@
 func (adm *Admin) Serve(ctx context.Context) error {
 	logx.Disable()
 	zproc.SetTimeToForceQuit(forceQuit) // The library would end the process 5 s after SIGTERM.
-	server, err := rest.NewServer(adm.restConf())
+	server, err := rest.NewServer(adm.restConf(), rest.WithNotFoundHandler(http.HandlerFunc(notFound)))
 	if err != nil {
 		return err
 	}
@@ -84,20 +84,29 @@
 	}
 }
 
+// addRoutes declares the API. Health needs no token, so that a platform can ask.
 func (adm *Admin) addRoutes(server *rest.Server) {
-	routes := []rest.Route{
-		{Method: http.MethodGet, Path: "/v1/health", Handler: adm.health},
-		{Method: http.MethodGet, Path: "/v1/lists", Handler: adm.listsInForce},
-		{Method: http.MethodGet, Path: "/metrics", Handler: adm.scope.ServeHTTP},
+	server.AddRoute(rest.Route{Method: http.MethodGet, Path: "/v1/health", Handler: adm.health})
+	for path, handler := range map[string]http.HandlerFunc{
+		"/v1/status":    adm.status,
+		"/v1/lists":     adm.listsInForce,
+		"/v1/plans":     adm.plans,
+		"/v1/customers": adm.customers,
+		"/v1/upstreams": adm.upstreams,
+		"/v1/explain":   adm.explain,
+		"/metrics":      adm.scope.ServeHTTP,
+	} {
+		server.AddRoute(rest.Route{Method: http.MethodGet, Path: path, Handler: adm.guard(handler)})
 	}
-	server.AddRoutes(routes)
+	server.AddRoute(rest.Route{Method: http.MethodPost, Path: "/v1/check/:list", Handler: adm.guard(adm.check)})
 }
 
 func (adm *Admin) health(rw http.ResponseWriter, _ *http.Request) {
-	select {
-	case <-adm.ready:
-		rw.WriteHeader(http.StatusOK)
-	default:
+	if !adm.isReady() {
 		rw.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
+
+func notFound(rw http.ResponseWriter, req *http.Request) {
+	writeAPIError(rw, http.StatusNotFound, "notFound", "no such path: "+req.URL.Path)
+}
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -205,3 +205,30 @@
 	fs.Add(0, err.Error())
 	return fs
 }
+
+// Mismatches names what is valid in each list alone but does not fit together:
+// customers of unknown plans, and services that no VM serves. Nil lists count
+// as not published.
+func Mismatches(cus *lists.Customers, pls *lists.Plans, vms *lists.VMs) []string {
+	found := []string{}
+	if cus != nil && pls != nil {
+		for _, cu := range cus.All() {
+			if !pls.HasPlan(cu.Plan()) {
+				found = append(found, "customer "+cu.Name()+" has the unknown plan "+cu.Plan())
+			}
+		}
+	}
+	if pls == nil || vms == nil {
+		return found
+	}
+	served := make(map[string]bool)
+	for _, vm := range vms.All() {
+		served[vm.Service()] = served[vm.Service()] || !vm.Leaving()
+	}
+	for _, gr := range pls.Grants() {
+		if !served[gr.Service()] {
+			found = append(found, "no live VM serves "+gr.Service()+", which plan "+gr.Plan()+" may use")
+		}
+	}
+	return found
+}
--- a/io/stand/scene.go
+++ b/io/stand/scene.go
@@ -15,8 +15,10 @@
 // Scene is one small region with every process on one machine: three
 // availability zones, a balancer in each, and two services.
 type Scene struct {
-	dir   string
-	ports int
+	dir    string
+	ports  int
+	feeds  int
+	photos int
 }
 
 // Host is one process of a scene.
@@ -50,7 +52,14 @@
 )
 
 // NewScene returns a scene with its files in dir, on ports from a base.
-func NewScene(dir string, ports int) *Scene { return &Scene{dir: dir, ports: ports} }
+func NewScene(dir string, ports int) *Scene {
+	return NewSceneOf(dir, ports, feedHosts, photoHosts)
+}
+
+// NewSceneOf returns a scene with another number of upstreams of each service.
+func NewSceneOf(dir string, ports, feeds, photos int) *Scene {
+	return &Scene{dir: dir, ports: ports, feeds: feeds, photos: photos}
+}
 
 // Balancers returns the balancers.
 func (scn *Scene) Balancers() []Host {
@@ -67,9 +76,9 @@
 // Agents returns the agents, each beside an upstream.
 func (scn *Scene) Agents() []Host {
 	var all []Host
-	for i := range feedHosts + photoHosts {
+	for i := range scn.feeds + scn.photos {
 		service := FeedService
-		if i >= feedHosts {
+		if i >= scn.feeds {
 			service = PhotoService
 		}
 		all = append(all, Host{
