--- a/core/route/route.go
+++ b/core/route/route.go
@@ -73,30 +73,30 @@
 // Table returns the table the router decides by.
 func (rtr *Router) Table() *table.Table { return rtr.table }
 
-// Decide returns the verdict on a caller's datagram for an address.
+// Decide returns the verdict on a caller's datagram for an address. An open flow
+// goes on when its address has lost its grant: the token alone tells its service.
 func (rtr *Router) Decide(caller netip.AddrPort, address netip.Addr, packet []byte) Verdict {
-	ent, ok := rtr.table.Lookup(address)
-	if !ok {
-		return Verdict{reason: UnknownAddress}
-	}
 	pkt, ok := frame.ParsePacket(packet)
 	if !ok {
 		return Verdict{reason: BadPacket}
 	}
-	hdr := frame.Forward(caller, address, ent.Service())
-	if tok, ok := rtr.ring.Open(pkt.CID()); ok {
-		return rtr.open(tok, ent, hdr)
-	}
-	if !pkt.Initial() {
+	ent, granted := rtr.table.Lookup(address)
+	tok, sealed := rtr.ring.Open(pkt.CID())
+	switch {
+	case sealed && granted && tok.Service() != ent.Service():
+		return Verdict{reason: OtherService}
+	case sealed:
+		return rtr.open(tok, frame.Forward(caller, address, tok.Service()))
+	case !granted:
+		return Verdict{reason: UnknownAddress}
+	case !pkt.Initial():
 		return Verdict{reason: UnknownFlow}
+	default:
+		return rtr.first(pkt.CID(), ent, frame.Forward(caller, address, ent.Service()))
 	}
-	return rtr.first(pkt.CID(), ent, hdr)
 }
 
-func (rtr *Router) open(tok token.Token, ent *table.Entry, hdr frame.Header) Verdict {
-	if tok.Service() != ent.Service() {
-		return Verdict{reason: OtherService}
-	}
+func (rtr *Router) open(tok token.Token, hdr frame.Header) Verdict {
 	return Verdict{reason: OpenFlow, header: hdr, target: tok.Agent(), link: rtr.links.Link(tok.Agent())}
 }
 
@@ -166,18 +166,20 @@
 }
 
 // Relayed decides on a datagram that another balancer detoured here, and
-// reports whether it may go on to its agent.
+// reports whether it may go on to its agent: when the token names it, or when it
+// is a first flight for a listed agent.
 func (rtr *Router) Relayed(hdr frame.Header, packet []byte) (Path, bool) {
-	ent, ok := rtr.table.Lookup(hdr.Address())
-	if !ok || ent.Service() != hdr.Service() || hdr.Has(frame.HopFlag) {
+	pkt, ok := frame.ParsePacket(packet)
+	if !ok || hdr.Has(frame.HopFlag) {
 		return Path{}, false
 	}
-	pkt, ok := frame.ParsePacket(packet)
-	if !ok {
+	path := Path{next: hdr.Agent(), header: hdr.Hop()}
+	ent, granted := rtr.table.Lookup(hdr.Address())
+	if granted && ent.Service() != hdr.Service() {
 		return Path{}, false
 	}
-	tok, sealed := rtr.ring.Open(pkt.CID())
-	genuine := sealed && tok.Agent() == hdr.Agent() && tok.Service() == hdr.Service()
-	chosen := !sealed && rtr.table.Names(hdr.Agent())
-	return Path{next: hdr.Agent(), header: hdr.Hop()}, genuine || chosen
+	if tok, sealed := rtr.ring.Open(pkt.CID()); sealed {
+		return path, tok.Agent() == hdr.Agent() && tok.Service() == hdr.Service()
+	}
+	return path, granted && pkt.Initial() && rtr.table.Names(hdr.Agent())
 }
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,100 @@
+package route_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lagoondrum/core/frame"
+	"lagoondrum/core/health"
+	"lagoondrum/core/lists"
+	"lagoondrum/core/route"
+	"lagoondrum/core/table"
+	"lagoondrum/core/token"
+)
+
+var (
+	now    = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	caller = netip.MustParseAddrPort("198.51.100.7:5000")
+	feedIP = netip.MustParseAddr("192.0.2.1")
+	agent  = netip.MustParseAddrPort("10.0.0.1:7842")
+	relay  = netip.MustParseAddrPort("10.0.9.1:7842")
+)
+
+type oneLink map[netip.AddrPort]*health.Link
+
+func (onl oneLink) Link(agent netip.AddrPort) *health.Link { return onl[agent] }
+
+func ringOf(t *testing.T) *token.Ring {
+	t.Helper()
+	kys, err := lists.ParseKeys(fmt.Appendf(nil, "[key 1]\nsecret = %064x\n[end]\n", 1))
+	assert.NilError(t, err)
+	return token.NewRing().With(kys, now)
+}
+
+func routerOf(t *testing.T, grant string, links oneLink) *route.Router {
+	t.Helper()
+	pls, err := lists.ParsePlans([]byte("[service feed]\n[service photo]\n[plan gold]\n" + grant + "[end]\n"))
+	assert.NilError(t, err)
+	vms, err := lists.ParseVMs([]byte("[vm u]\naddress = 10.0.0.1:7842\nzone = a\nservice = feed\n" +
+		"[vm b]\nrole = balancer\naddress = 10.0.9.1:7842\nzone = b\n[end]\n"))
+	assert.NilError(t, err)
+	return route.New(table.New(pls, vms, table.NewPlace("a", "", netip.AddrPort{})), ringOf(t), links)
+}
+
+const feedGrant = "[grant gold feed]\naddress = 192.0.2.1\nupstreams = 1\nshare = 1\n"
+
+func openPacket(t *testing.T) []byte {
+	t.Helper()
+	packet := make([]byte, 1+token.Bytes)
+	packet[0] = 0x40
+	tok := token.New(agent, lists.IDOf("feed"), 1, [3]byte{1, 2, 3})
+	assert.NilError(t, ringOf(t).Seal(tok, now, packet[1:]))
+	return packet
+}
+
+// assertVerdict checks the reason and the target of a verdict.
+func assertVerdict(t *testing.T, ver route.Verdict, want route.Reason, target netip.AddrPort) {
+	t.Helper()
+	assert.Equal(t, ver.Reason().String(), want.String())
+	assert.Equal(t, ver.Target(), target)
+}
+
+func TestOpenFlowOutlivesItsGrant(t *testing.T) {
+	rtr := routerOf(t, "", oneLink{})
+	assertVerdict(t, rtr.Decide(caller, feedIP, openPacket(t)), route.OpenFlow, agent)
+}
+
+func TestAddressOfOtherServiceDropsTheFlow(t *testing.T) {
+	rtr := routerOf(t, "[grant gold photo]\naddress = 192.0.2.1\nupstreams = 1\nshare = 1\n", oneLink{})
+	assertVerdict(t, rtr.Decide(caller, feedIP, openPacket(t)), route.OtherService, netip.AddrPort{})
+}
+
+func TestNewFlowNeedsAGrant(t *testing.T) {
+	packet := make([]byte, 1200)
+	packet[0], packet[5] = 0xc0, 8
+	assertVerdict(t, routerOf(t, "", oneLink{}).Decide(caller, feedIP, packet), route.UnknownAddress, netip.AddrPort{})
+	assertVerdict(t, routerOf(t, feedGrant, oneLink{}).Decide(caller, feedIP, packet), route.FirstFlight, agent)
+}
+
+func TestSilentAgentIsReachedOverAnotherZone(t *testing.T) {
+	lnk := &health.Link{}
+	rtr := routerOf(t, feedGrant, oneLink{agent: lnk})
+	ver := rtr.Decide(caller, feedIP, openPacket(t))
+	assert.Equal(t, rtr.Path(ver, now).Next(), agent)
+	for at := now; !lnk.Silent(); at = at.Add(100 * time.Millisecond) {
+		lnk.NoteSent(at)
+		lnk.Poll(at)
+	}
+	pth := rtr.Path(ver, now)
+	assert.Equal(t, pth.Next(), relay)
+	assert.Equal(t, pth.Header().Kind(), frame.DetourKind)
+	onward, ok := rtr.Relayed(pth.Header(), openPacket(t))
+	assert.Assert(t, ok)
+	assert.Equal(t, onward.Next(), agent)
+	_, again := rtr.Relayed(onward.Header().Detour(agent), openPacket(t))
+	assert.Assert(t, !again, "a packet was detoured twice")
+}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -146,7 +146,7 @@
 	switch hdr.Kind() {
 	case frame.ReturnKind:
 		ent.noteHeard(from, hdr, now)
-		ent.answer(hdr, data[frame.HeaderBytes:], toCallers)
+		ent.answer(from, hdr, data[frame.HeaderBytes:], toCallers)
 	case frame.PongKind:
 		ent.noteHeard(from, hdr, now)
 	case frame.DetourKind:
@@ -163,9 +163,11 @@
 }
 
 // answer sends an agent's packet to its caller, from the address that the
-// caller uses; other source addresses are never sent from.
-func (ent *Entry) answer(hdr frame.Header, packet []byte, out *mmsg.Outbox) {
-	if _, ok := ent.router.Load().Table().Lookup(hdr.Address()); !ok {
+// caller uses. From an address without a grant only a listed agent may answer:
+// its open flows go on.
+func (ent *Entry) answer(from netip.AddrPort, hdr frame.Header, packet []byte, out *mmsg.Outbox) {
+	_, granted := ent.router.Load().Table().Lookup(hdr.Address())
+	if !granted && ent.links.Link(from) == nil {
 		ent.meter.badFrame()
 		return
 	}
