--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"runtime/debug"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -28,7 +27,6 @@
 	bootTimeout  = 3 * time.Second // A process that no peer answers serves after this long.
 	bootInterval = 20 * time.Millisecond
 	lingerTime   = time.Second // A balancer goes on forwarding this long after SIGTERM.
-	agentGC      = 40          // Growth of an agent's heap between collections, in %: flows are most of it.
 )
 
 // base is what every process of the system has.
@@ -169,7 +167,6 @@
 
 // RunAgent runs an agent until ctx ends and its drain is over.
 func RunAgent(ctx context.Context, set *conf.Settings) error {
-	debug.SetGCPercent(agentGC)
 	bas, err := newBase(set)
 	if err != nil {
 		return err
