--- a/cmd/bench/core.go
+++ b/cmd/bench/core.go
@@ -110,6 +110,8 @@
 }
 
 func measureTables(rep *report) {
+	measureOverlay(rep)
+	measureLinks(rep)
 	build := rep.slope("Table build by upstreams", "upstreams", "ms")
 	memory := rep.slope("Table and lists memory by upstreams", "upstreams", "MB")
 	for _, upstreams := range []int{100, 400, 1200, fullUpstreams} {
@@ -126,6 +128,36 @@
 	}
 }
 
+func measureOverlay(rep *report) {
+	build := rep.slope("Overlay build by processes", "processes", "ms")
+	for _, processes := range []int{50, 400, 1500, fullUpstreams + fullNodes} {
+		_, vms := trial.FleetLists(processes, 1)
+		start := time.Now()
+		spread.NewOverlay(vms, trial.Agent(0), "z0")
+		build.add(float64(processes), time.Since(start).Seconds()*1e3)
+	}
+}
+
+// measureLinks times one look at every link of a balancer.
+func measureLinks(rep *report) {
+	look := rep.slope("One look at every link by upstreams", "upstreams", "us")
+	for _, upstreams := range []int{10, 100, 1000, fullUpstreams} {
+		links := make(linkMap)
+		for num := range upstreams {
+			links[trial.Agent(num)] = &health.Link{}
+		}
+		now := time.Now()
+		res := testing.Benchmark(func(b *testing.B) {
+			for range b.N {
+				for _, lnk := range links {
+					lnk.Poll(now)
+				}
+			}
+		})
+		look.add(float64(upstreams), float64(res.NsPerOp())/1e3)
+	}
+}
+
 // heapOf returns the bytes that a value keeps alive.
 func heapOf(build func() any) float64 {
 	var before, after runtime.MemStats
--- a/cmd/lagoondrum/main.go
+++ b/cmd/lagoondrum/main.go
@@ -25,6 +25,7 @@
 var version = "0.1.0"
 
 func main() {
+	_ = os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true") // The sockets are sized elsewhere.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	cmds := newCommands(version)
--- a/core/lists/lists.go
+++ b/core/lists/lists.go
@@ -58,10 +58,11 @@
 // open parses raw and hands each section to read; faults of both are joined.
 func open(name Name, raw []byte, read func(*text.Section, *text.Reader, *text.Faults)) (*text.Doc, error) {
 	doc, err := text.Parse(string(name), raw, true)
-	if err != nil {
+	if doc == nil {
 		return nil, err
 	}
 	fs := text.NewFaults(string(name))
+	fs.Join(err)
 	for _, sec := range doc.Sections() {
 		rdr := text.NewReader(sec, fs)
 		read(sec, rdr, fs)
--- a/core/lists/plans.go
+++ b/core/lists/plans.go
@@ -54,9 +54,10 @@
 	}
 	_, err := open(PlansName, raw, pls.read)
 	fs := text.NewFaults(string(PlansName))
+	fs.Join(err)
 	pls.checkReferences(fs)
 	pls.checkShares(fs)
-	if err = join(err, fs); err != nil {
+	if err := fs.Err(); err != nil {
 		return nil, err
 	}
 	return pls, nil
@@ -142,18 +143,6 @@
 	}
 }
 
-// join returns the faults of an earlier step and of fs as one error.
-func join(err error, fs *text.Faults) error {
-	earlier, ok := err.(*text.Faults)
-	if !ok {
-		return fs.Err()
-	}
-	for _, fault := range earlier.All() {
-		fs.Add(fault.Line(), fault.Reason())
-	}
-	return fs.Err()
-}
-
 // Grants returns the grants in file order.
 func (pls *Plans) Grants() []*Grant { return pls.grants }
 
--- a/core/spread/overlay.go
+++ b/core/spread/overlay.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"sort"
 	"time"
@@ -22,41 +23,57 @@
 
 func hashOf(raw []byte) uint64 { return xxhash.Sum64(raw) }
 
-// Peers returns the processes that self exchanges lists with: some of its own
-// availability zone and some of others, by rendezvous, so that the loads are
-// even and a change of the fleet moves few of them.
-func Peers(vms *lists.VMs, self netip.AddrPort, zone string) []netip.AddrPort {
+// Overlay is the place of one process among all for one list of VMs. It is
+// immutable: building it ranks the whole fleet, so it is kept until the list
+// changes.
+type Overlay struct {
+	peers []netip.AddrPort
+	rank  int
+}
+
+// NewOverlay returns the place of the process self in a zone. Without a list it
+// has no peers and reads the platform itself.
+func NewOverlay(vms *lists.VMs, self netip.AddrPort, zone string) *Overlay {
+	ovl := &Overlay{}
 	if vms == nil {
-		return nil
+		return ovl
 	}
-	var near, far []netip.AddrPort
+	own := rankOf(self, zone)
+	var near, far []ranked
 	for _, vm := range vms.All() {
+		peer := ranked{vm.Address(), rankOf(vm.Address(), self.String())}
 		switch {
 		case vm.Address() == self:
 		case vm.Zone() == zone:
-			near = append(near, vm.Address())
+			near = append(near, peer)
+			ovl.rank += countIf(!vm.Leaving() && rankOf(vm.Address(), zone) > own)
 		default:
-			far = append(far, vm.Address())
+			far = append(far, peer)
 		}
 	}
-	peers := topRanked(near, self.String(), NearPeers)
-	return append(peers, topRanked(far, self.String(), FarPeers)...)
+	ovl.peers = append(topRanked(near, NearPeers), topRanked(far, FarPeers)...)
+	return ovl
 }
 
-// ReaderRank returns the place of self among the readers of its zone, from 0.
-// Processes below ReadersPerZone watch the platform.
-func ReaderRank(vms *lists.VMs, self netip.AddrPort, zone string) int {
-	if vms == nil {
-		return 0
-	}
-	own := rankOf(self, zone)
-	rank := 0
-	for _, vm := range vms.All() {
-		if vm.Zone() == zone && !vm.Leaving() && vm.Address() != self && rankOf(vm.Address(), zone) > own {
-			rank++
-		}
+// Peers returns the processes to exchange lists with: some of the own
+// availability zone and some of others, by rendezvous, so that the loads are
+// even and a change of the fleet moves few of them.
+func (ovl *Overlay) Peers() []netip.AddrPort { return ovl.peers }
+
+// Rank returns the place among the readers of the zone, from 0. Processes below
+// ReadersPerZone watch the platform.
+func (ovl *Overlay) Rank() int { return ovl.rank }
+
+type ranked struct {
+	addr netip.AddrPort
+	rank uint64
+}
+
+func countIf(is bool) int {
+	if is {
+		return 1
 	}
-	return rank
+	return 0
 }
 
 // TakeoverAt returns when a process of a rank reads the platform itself unless
@@ -69,11 +86,23 @@
 	return confirmed.Add(TakeoverAfter + step)
 }
 
-func topRanked(addrs []netip.AddrPort, seed string, count int) []netip.AddrPort {
-	sort.Slice(addrs, func(i, j int) bool { return rankOf(addrs[i], seed) > rankOf(addrs[j], seed) })
-	return addrs[:min(count, len(addrs))]
+func topRanked(peers []ranked, count int) []netip.AddrPort {
+	sort.Slice(peers, func(i, j int) bool { return peers[i].rank > peers[j].rank })
+	var top []netip.AddrPort
+	for _, peer := range peers[:min(count, len(peers))] {
+		top = append(top, peer.addr)
+	}
+	return top
 }
 
+// rankOf hashes an address under a seed.
 func rankOf(addr netip.AddrPort, seed string) uint64 {
-	return xxhash.Sum64String(seed + "|" + addr.String())
+	raw := make([]byte, 0, len(seed)+addrBytes)
+	raw = append(raw, seed...)
+	ip := addr.Addr().As4()
+	raw = append(raw, ip[:]...)
+	raw = binary.BigEndian.AppendUint16(raw, addr.Port())
+	return xxhash.Sum64(raw)
 }
+
+const addrBytes = 6
--- a/core/text/doc.go
+++ b/core/text/doc.go
@@ -41,7 +41,8 @@
 
 // Parse reads raw as an INI document called file. When closed is set the last
 // section has to be [end], so that a truncated document is refused. The error,
-// if any, is a *Faults.
+// if any, is a *Faults; unless the syntax itself is broken the document comes
+// with it, so that the faults of its sections can be reported too.
 func Parse(file string, raw []byte, closed bool) (*Doc, error) {
 	fs := NewFaults(file)
 	if len(raw) > MaxBytes {
@@ -58,10 +59,7 @@
 	if closed {
 		doc.checkClosed(fs)
 	}
-	if err := fs.Err(); err != nil {
-		return nil, err
-	}
-	return doc, nil
+	return doc, fs.Err()
 }
 
 // File returns the name of the document.
--- a/core/text/fault.go
+++ b/core/text/fault.go
@@ -32,6 +32,13 @@
 	fs.faults = append(fs.faults, Fault{fs.file, line, reason})
 }
 
+// Join records the faults of an earlier step, if err holds any.
+func (fs *Faults) Join(err error) {
+	if earlier, ok := err.(*Faults); ok {
+		fs.faults = append(fs.faults, earlier.faults...)
+	}
+}
+
 // Err returns the collection as an error, or nil when it is empty.
 func (fs *Faults) Err() error {
 	if len(fs.faults) == 0 {
--- a/core/trial/broken.go
+++ b/core/trial/broken.go
@@ -3,16 +3,15 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"lagoondrum/core/health"
 	"lagoondrum/core/lists"
 	"lagoondrum/core/route"
 	"lagoondrum/core/table"
 	"lagoondrum/core/token"
-
-	"lagoondrum/core/health"
-	"time"
 )
 
 // Change is what happens to a fleet while flows are open.
--- a/core/trial/trial_test.go
+++ b/core/trial/trial_test.go
@@ -1,33 +1,61 @@
 package trial
 
 import (
-	"fmt"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
-func TestShow(t *testing.T) {
+const testSeeds = 5
+
+func meanImbalance(scn FlowScene, pol FlowPolicy) float64 {
+	sum := 0.0
+	for seed := range uint64(testSeeds) {
+		sum += Imbalance(scn, pol, seed+1)
+	}
+	return sum / testSeeds
+}
+
+func TestSteeringByBothIsTheMostEven(t *testing.T) {
+	ms := time.Millisecond
 	for _, scn := range []FlowScene{
-		{Name: "burst", Upstreams: 7, Balancers: 3, Flows: 700, Within: 2 * time.Second, Handshake: 50 * time.Millisecond, Heard: 200 * time.Millisecond},
-		{Name: "small burst", Upstreams: 7, Balancers: 3, Flows: 60, Within: 20 * time.Millisecond, Handshake: 50 * time.Millisecond, Heard: 200 * time.Millisecond},
-		{Name: "stale", Upstreams: 36, Balancers: 30, Flows: 7200, Within: 5 * time.Second, Handshake: 50 * time.Millisecond, Heard: 2 * time.Second},
-		{Name: "cold", Upstreams: 7, Balancers: 3, Flows: 1400, Within: 4 * time.Second, Handshake: 50 * time.Millisecond, Heard: 200 * time.Millisecond, Cold: 1},
-		{Name: "lying", Upstreams: 7, Balancers: 3, Flows: 1400, Within: 4 * time.Second, Handshake: 50 * time.Millisecond, Heard: 200 * time.Millisecond, Lying: 1},
+		{Name: "burst", Upstreams: 7, Balancers: 3, Flows: 700, Within: 2000 * ms, Handshake: 50 * ms, Heard: 200 * ms},
+		{Name: "short burst", Upstreams: 7, Balancers: 3, Flows: 60, Within: 20 * ms, Handshake: 50 * ms, Heard: 200 * ms},
+		{Name: "stale words", Upstreams: 36, Balancers: 30, Flows: 3600, Within: 5000 * ms, Handshake: 50 * ms, Heard: 2000 * ms},
+		{Name: "cold", Upstreams: 7, Balancers: 3, Flows: 1400, Within: 4000 * ms, Handshake: 50 * ms, Heard: 200 * ms, Cold: 1},
+		{Name: "lying", Upstreams: 7, Balancers: 3, Flows: 1400, Within: 4000 * ms, Handshake: 50 * ms, Heard: 200 * ms, Lying: 1},
 	} {
-		for _, pol := range []FlowPolicy{HashAlone{}, TwoChoices{}, Steered{}, Steered{Pending: true}, Steered{Pending: true, Back: true}, Steered{Back: true}} {
-			sum := 0.0
-			for seed := range uint64(10) {
-				sum += Imbalance(scn, pol, seed+1)
+		t.Run(scn.Name, func(t *testing.T) {
+			inUse := meanImbalance(scn, Steered{Pending: true, Back: true})
+			for _, pol := range []FlowPolicy{HashAlone{}, TwoChoices{}, Steered{Pending: true}} {
+				other := meanImbalance(scn, pol)
+				assert.Assert(t, inUse < other, "%T has %.3f, the way in use %.3f", pol, other, inUse)
 			}
-			fmt.Printf("%-12s %T%v %.3f\n", scn.Name, pol, pol, sum/10)
-		}
+		})
 	}
-	for _, chg := range []Change{{Name: "join", Added: 1}, {Name: "leave", Leaving: 1}, {Name: "disagree", Added: 3, Behind: 0.5}, {Name: "moved", Moved: true}} {
-		h, k := Broken(chg, 1)
-		fmt.Println(chg.Name, h, k)
+}
+
+func TestTokensBreakNoFlow(t *testing.T) {
+	for _, chg := range []Change{
+		{Name: "join", Added: 1}, {Name: "leave", Leaving: 1},
+		{Name: "disagree", Added: 3, Behind: 0.5}, {Name: "moved", Moved: true},
+	} {
+		t.Run(chg.Name, func(t *testing.T) {
+			byHash, byToken := Broken(chg, 1)
+			assert.Equal(t, byToken, 0.0)
+			assert.Assert(t, byHash > 0)
+		})
 	}
-	scn := WorkScene{Upstreams: 7, Slots: 4, Flows: 70, Orders: 3000, Within: 6 * time.Second, Service: 50 * time.Millisecond, Limit: 2 * time.Second}
-	for _, pol := range []WorkPolicy{StayHere{}, PassOn{0.75}, PassOn{1}, PassOn{1.5}, PassOn{2}, PassOn{4}} {
-		fmt.Printf("%T%v %+v\n", pol, pol, Burst(scn, pol, 1))
+}
+
+func TestPassingOnEvensABurst(t *testing.T) {
+	scn := WorkScene{
+		Upstreams: 7, Slots: 4, Flows: 70, Orders: 3000, Within: 6 * time.Second,
+		Service: 50 * time.Millisecond, Limit: 2 * time.Second,
 	}
+	stay, pass := Burst(scn, StayHere{}, 1), Burst(scn, PassOn{Factor: 1}, 1)
+	assert.Assert(t, pass.Imbalance < stay.Imbalance)
+	assert.Assert(t, pass.Worst < stay.Worst)
+	assert.Assert(t, pass.Refused <= stay.Refused)
 }
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -279,13 +279,20 @@
 func (agt *Agent) tick(now time.Time, before drain.Phase) drain.Phase {
 	agt.worker.tick(now)
 	agt.refreshSelf(now)
-	phase := agt.drain.advance(now, int(agt.open.requests.Load()))
+	phase := agt.drain.advance(now, agt.underWay())
 	if phase != before {
 		agt.enter(phase)
 	}
 	return phase
 }
 
+// underWay counts what a stop would cut off: requests of callers, and work that
+// runs for a peer or for a caller that is gone.
+func (agt *Agent) underWay() int {
+	running, queued, _ := agt.worker.slots.use()
+	return int(agt.open.requests.Load()) + running + queued
+}
+
 // enter does what a new phase of the drain needs.
 func (agt *Agent) enter(phase drain.Phase) {
 	agt.log.Info("drain", zap.Stringer("phase", phase))
--- /dev/null
+++ b/io/agent/agent_test.go
@@ -0,0 +1,147 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"lagoondrum/core/drain"
+	"lagoondrum/core/ledger"
+	"lagoondrum/core/lists"
+	"lagoondrum/core/relay"
+	"lagoondrum/core/table"
+	"lagoondrum/io/feed"
+	"lagoondrum/io/peer"
+	"lagoondrum/io/stats"
+)
+
+const testPlans = "[service feed]\nshedStatus = 503\n[plan gold]\n[grant gold feed]\naddress = 192.0.2.1\nupstreams = 2\nshare = 1\n[end]\n"
+
+// noPeers is a mesh in which nobody answers.
+type noPeers struct{}
+
+func (noPeers) Relay(context.Context, netip.AddrPort, peer.Request, func() bool) peer.Response {
+	return peer.Response{Outcome: relay.NotRun, Reason: "peerUnreachable"}
+}
+
+func newTestAgent(t *testing.T, handler http.HandlerFunc) *Agent {
+	t.Helper()
+	upstream := httptest.NewServer(handler)
+	t.Cleanup(upstream.Close)
+	place := table.NewPlace("z", "r", freeAddr(t))
+	scope := stats.New("test")
+	lst := feed.New(place, scope, zap.NewNop())
+	lst.Offer(lists.PlansName, 1, []byte(testPlans), time.Now())
+	lst.Offer(lists.VMsName, 1, []byte("[vm u]\naddress = "+place.Self().String()+"\nzone = z\nregion = r\nservice = feed\nslots = 4\n[end]\n"), time.Now())
+	agt, err := New(place, "feed", netip.MustParseAddrPort(strings.TrimPrefix(upstream.URL, "http://")), lst, scope, zap.NewNop())
+	assert.NilError(t, err)
+	t.Cleanup(agt.Close)
+	agt.worker.relayer = noPeers{}
+	agt.SetLists(lists.VMsName)
+	return agt
+}
+
+func freeAddr(t *testing.T) netip.AddrPort {
+	t.Helper()
+	udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	defer udp.Close()
+	return udp.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+func testRequest(limit time.Duration) peer.Request {
+	return peer.Request{
+		Customer: "a", Plan: "gold", Service: "feed", Method: http.MethodPost, Path: "/",
+		Header: map[string][]string{"Idempotency-Key": {"k"}}, Body: []byte("x"), Deadline: time.Now().Add(limit),
+	}
+}
+
+func (agt *Agent) newID(t *testing.T) ledger.ID {
+	t.Helper()
+	ses, ok := agt.worker.openSession()
+	assert.Assert(t, ok)
+	return ledger.NewID(ses, 1)
+}
+
+func answerOK(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusOK) }
+
+// answerNever waits until the caller has gone. Only a read body lets the server
+// see that.
+func answerNever(_ http.ResponseWriter, req *http.Request) {
+	_, _ = io.Copy(io.Discard, req.Body)
+	<-req.Context().Done()
+}
+
+func TestStopWaitsForAPeersWork(t *testing.T) {
+	agt := newTestAgent(t, answerOK)
+	rsv, reason := agt.Worker().Reserve(context.Background(), testRequest(time.Minute))
+	assert.Equal(t, reason, "")
+	now := time.Now()
+	agt.Drain(now.Add(time.Hour))
+	agt.drain.advance(now.Add(drain.CloseDelay), agt.underWay())
+	assert.Equal(t, agt.drain.advance(now.Add(time.Minute), agt.underWay()), drain.Closing)
+	rsv.Release()
+	assert.Equal(t, agt.drain.advance(now.Add(time.Minute), agt.underWay()), drain.Stopped)
+}
+
+func TestLeavingAgentTakesNoWork(t *testing.T) {
+	agt := newTestAgent(t, answerOK)
+	agt.Drain(time.Now().Add(time.Hour))
+	rsp := agt.worker.do(context.Background(), agt.newID(t), testRequest(time.Second))
+	assert.Equal(t, rsp.Outcome, relay.NotRun)
+	_, reason := agt.Worker().Reserve(context.Background(), testRequest(time.Second))
+	assert.Equal(t, reason, string(leaving))
+}
+
+// TestOutcomesOfAnUpstream checks what is said of work by what its upstream did.
+func TestOutcomesOfAnUpstream(t *testing.T) {
+	for name, tc := range map[string]struct {
+		handler http.HandlerFunc
+		want    relay.Outcome
+	}{
+		"answers":               {answerOK, relay.Done},
+		"sheds by its contract": {func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(503) }, relay.NotRun},
+		"fails":                 {func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(500) }, relay.Done},
+		"breaks off":            {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, relay.Unknown},
+		"is too slow":           {answerNever, relay.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			agt := newTestAgent(t, tc.handler)
+			rsp := agt.worker.do(context.Background(), agt.newID(t), testRequest(300*time.Millisecond))
+			assert.Equal(t, rsp.Outcome.String(), tc.want.String())
+		})
+	}
+}
+
+// TestSameIDRunsOnce hands one ID in many times at once, to an upstream whose
+// connections break: neither the agent nor its HTTP transport may repeat it.
+func TestSameIDRunsOnce(t *testing.T) {
+	var mu sync.Mutex
+	runs := 0
+	agt := newTestAgent(t, func(http.ResponseWriter, *http.Request) {
+		mu.Lock()
+		runs++
+		mu.Unlock()
+		panic(http.ErrAbortHandler)
+	})
+	id := agt.newID(t)
+	var wait sync.WaitGroup
+	for range 20 {
+		wait.Go(func() {
+			rsp := agt.worker.do(context.Background(), id, testRequest(time.Second))
+			assert.Check(t, rsp.Outcome == relay.Unknown)
+		})
+	}
+	wait.Wait()
+	assert.Equal(t, runs, 1)
+}
--- a/io/agent/call.go
+++ b/io/agent/call.go
@@ -20,16 +20,16 @@
 
 // Header fields between callers, agents and upstreams.
 const (
-	WorkField      = "Lagoondrum-Work"            // The work ID.
-	OutcomeField   = "Lagoondrum-Outcome"         // done, notRun or unknown.
-	ReasonField    = "Lagoondrum-Reason"          // Why work was not run or its outcome is unknown.
-	DeadlineField  = "Lagoondrum-Deadline-Millis" // Time left, in milliseconds.
-	CustomerField  = "Lagoondrum-Customer"        // The customer, towards the upstream.
-	upstreamDialTO = 500 * time.Millisecond       // The upstream is on the same VM.
-	streamDialTO   = 2 * time.Second
+	WorkField           = "Lagoondrum-Work"            // The work ID.
+	OutcomeField        = "Lagoondrum-Outcome"         // done, notRun or unknown.
+	ReasonField         = "Lagoondrum-Reason"          // Why work was not run or its outcome is unknown.
+	DeadlineField       = "Lagoondrum-Deadline-Millis" // Time left, in milliseconds.
+	CustomerField       = "Lagoondrum-Customer"        // The customer, towards the upstream.
+	upstreamDialTimeout = 500 * time.Millisecond       // The upstream is on the same VM.
+	streamDialTimeout   = 2 * time.Second
 )
 
-// caller calls the upstream beside the agent. Each piece of work has a
+// upstreamCaller calls the upstream beside the agent. Each piece of work has a
 // connection of its own, so that the transport never repeats a request.
 type upstreamCaller struct {
 	base    string
@@ -38,9 +38,9 @@
 }
 
 func newUpstreamCaller(addr netip.AddrPort) *upstreamCaller {
-	work := newTransport(upstreamDialTO)
+	work := newTransport(upstreamDialTimeout)
 	work.DisableKeepAlives = true
-	return &upstreamCaller{base: "http://" + addr.String(), work: work, streams: newTransport(streamDialTO)}
+	return &upstreamCaller{base: "http://" + addr.String(), work: work, streams: newTransport(streamDialTimeout)}
 }
 
 func newTransport(dialTimeout time.Duration) *http.Transport {
--- a/io/agent/handler.go
+++ b/io/agent/handler.go
@@ -193,11 +193,10 @@
 		writeCancel(rw, hdl.worker.cancel(id))
 		return
 	}
-	rsp, ok := hdl.worker.fetch(id)
-	if !ok {
-		rsp = peer.Response{Outcome: relay.Unknown, Reason: "notRecorded"}
-	}
-	writeResponse(rw, text, rsp)
+	writeResponse(rw, text, hdl.worker.outcome(req.Context(), id, peer.Request{
+		WorkID: text, Customer: cus.name, Plan: cus.plan, Service: hdl.service,
+		Deadline: deadlineOf(req.Header, time.Now()),
+	}))
 }
 
 func writeCancel(rw http.ResponseWriter, found bool) {
--- a/io/agent/reserve.go
+++ b/io/agent/reserve.go
@@ -63,6 +63,9 @@
 	if rsv.id.Owner() != rsv.wkr.ledger.Owner() {
 		return peer.Response{Outcome: relay.Unknown, Reason: "ownerRestarted"}
 	}
+	if req.FetchOnly {
+		return rsv.wkr.fetch(rsv.id)
+	}
 	req.ToOwner = false
 	req.MayWait = false
 	return rsv.wkr.do(ctx, rsv.id, req)
--- a/io/agent/work.go
+++ b/io/agent/work.go
@@ -297,11 +297,22 @@
 }
 
 // fetch returns what is recorded about work of this agent.
-func (wkr *worker) fetch(id ledger.ID) (peer.Response, bool) {
+func (wkr *worker) fetch(id ledger.ID) peer.Response {
 	wkr.mu.Lock()
 	defer wkr.mu.Unlock()
-	ver, ok := wkr.ledger.Fetch(id)
-	return fromLedger(ver), ok
+	if ver, ok := wkr.ledger.Fetch(id); ok {
+		return fromLedger(ver)
+	}
+	return peer.Response{Outcome: relay.Unknown, Reason: "notRecorded"}
+}
+
+// outcome returns what the owner has recorded about work.
+func (wkr *worker) outcome(ctx context.Context, id ledger.ID, req peer.Request) peer.Response {
+	if id.Owner() == wkr.ledger.Owner() {
+		return wkr.fetch(id)
+	}
+	req.FetchOnly = true
+	return wkr.foreign(ctx, id.Owner(), req)
 }
 
 func (wkr *worker) openSession() (ledger.Session, bool) {
--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -26,6 +26,7 @@
 	maxRetry      = time.Second
 	dialAttempt   = 5 * time.Second
 	defaultWork   = 30 * time.Second
+	outcomePath   = "/.lagoondrum/work/"
 	workField     = "Lagoondrum-Work"
 	outcomeField  = "Lagoondrum-Outcome"
 	reasonField   = "Lagoondrum-Reason"
@@ -140,6 +141,21 @@
 	}
 }
 
+// Outcome asks what became of work, by its ID. The errors are those of Do.
+func (cln *Client) Outcome(ctx context.Context, work string) (*Answer, error) {
+	ctx, cancel := withDeadline(ctx)
+	defer cancel()
+	lnk, err := cln.connected(ctx)
+	if err != nil {
+		return nil, &UnknownError{Work: work, Reason: "no connection", Cause: err}
+	}
+	ans, err := send(ctx, lnk, cln.cfg, Request{Method: http.MethodGet, Path: outcomePath + work}, work)
+	if errors.HasType(err, (*lostError)(nil)) {
+		return nil, &UnknownError{Work: work, Reason: "no answer", Cause: err}
+	}
+	return ans, err
+}
+
 func withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	if _, ok := ctx.Deadline(); ok {
 		return context.WithCancel(ctx)
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -77,16 +77,20 @@
 // Parse reads settings from a text. The error is a *text.Faults.
 func Parse(file string, raw []byte) (*Settings, error) {
 	doc, err := text.Parse(file, raw, false)
-	if err != nil {
+	if doc == nil {
 		return nil, err
 	}
 	set := Default()
 	fs := text.NewFaults(file)
+	fs.Join(err)
 	for _, sec := range doc.Sections() {
 		set.read(sec, fs)
 	}
 	set.checkAdmin(fs)
-	return set, fs.Err()
+	if err := fs.Err(); err != nil {
+		return nil, err
+	}
+	return set, nil
 }
 
 func (set *Settings) read(sec *text.Section, fs *text.Faults) {
--- a/io/fault/matrix_test.go
+++ b/io/fault/matrix_test.go
@@ -132,11 +132,11 @@
 	return end
 }
 
-func beginOrders(t *testing.T, reg *region, cell string, lss loss, make1 func(int) (*caller.Client, *order)) func() {
+func beginOrders(t *testing.T, reg *region, cell string, lss loss, newOrder func(int) (*caller.Client, *order)) func() {
 	var wait sync.WaitGroup
 	orders := make([]*order, callersPerCell)
 	for num := range orders {
-		cln, ord := make1(num)
+		cln, ord := newOrder(num)
 		orders[num] = ord
 		wait.Go(func() { reg.do(cln, "till-gold", ord) })
 	}
--- a/io/fault/planned_test.go
+++ b/io/fault/planned_test.go
@@ -83,9 +83,11 @@
 func TestPlannedChanges(t *testing.T) {
 	reg := newRegion(t, testPorts+2000)
 	t.Run("drain by signal", func(t *testing.T) { drainBySignal(t, reg) })
+	t.Run("drain while a peer's work runs", func(t *testing.T) { drainUnderRelay(t, reg) })
 	t.Run("drain by list", func(t *testing.T) { drainByList(t, reg) })
 	t.Run("every process is replaced in turn", func(t *testing.T) { replaceInTurn(t, reg) })
 	t.Run("a plan loses its grant", func(t *testing.T) { loseGrant(t, reg) })
+	t.Run("an outcome is fetched through any agent", func(t *testing.T) { fetchOutcome(t, reg) })
 	t.Run("administration", func(t *testing.T) { administer(t, reg) })
 }
 
@@ -112,6 +114,26 @@
 	reg.restart(agentA)
 }
 
+// drainUnderRelay fills nearly every slot from the flows of all agents, so that
+// some work runs for a peer, and drains an agent meanwhile.
+func drainUnderRelay(t *testing.T, reg *region) {
+	clients := reg.connected(t, "relay")
+	orders := make([]*order, 2*len(clients)-2)
+	var wait sync.WaitGroup
+	for num := range orders {
+		orders[num] = &order{name: fmt.Sprintf("relay-%d", num), query: "?millis=5000", limit: stopLimit}
+		wait.Go(func() { reg.do(clients[num%len(clients)], "till-gold", orders[num]) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	reg.signal(agentA, syscall.SIGTERM)
+	reg.awaitStopped(t, agentA)
+	wait.Wait()
+	for _, ord := range orders {
+		reg.assertWhole(t, ord)
+	}
+	reg.restart(agentA)
+}
+
 // drainByList marks an upstream as leaving while one balancer is stopped and
 // cannot hear of it.
 func drainByList(t *testing.T, reg *region) {
@@ -164,6 +186,21 @@
 	wait.Wait()
 }
 
+// fetchOutcome asks for recorded answers over connections to whichever agents.
+func fetchOutcome(t *testing.T, reg *region) {
+	ord := &order{name: "fetched", body: "x"}
+	reg.do(reg.client("till-gold"), "till-gold", ord)
+	assert.NilError(t, ord.err)
+	for range callersPerCell {
+		ctx, cancel := context.WithTimeout(context.Background(), workLimit)
+		defer cancel()
+		ans, err := reg.client("till-gold").Outcome(ctx, ord.ans.Work)
+		assert.NilError(t, err)
+		assert.Equal(t, string(ans.Body), string(ord.ans.Body))
+	}
+	reg.assertOnce(t, ord)
+}
+
 func administer(t *testing.T, reg *region) {
 	hst := reg.scn.Balancers()[0]
 	for name, tc := range map[string]struct {
--- a/io/fault/region_test.go
+++ b/io/fault/region_test.go
@@ -185,12 +185,16 @@
 	name  string
 	query string
 	body  string
+	limit time.Duration // 0 stands for workLimit.
 	ans   *caller.Answer
 	err   error
 }
 
 func (reg *region) do(cln *caller.Client, customer string, ord *order) {
-	ctx, cancel := context.WithTimeout(context.Background(), workLimit)
+	if ord.limit == 0 {
+		ord.limit = workLimit
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), ord.limit)
 	defer cancel()
 	ord.ans, ord.err = cln.Do(ctx, caller.Request{
 		Method: http.MethodPost, Path: "/order" + ord.query, Body: []byte(ord.body),
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -10,6 +10,7 @@
 
 	"lagoondrum/core/lists"
 	"lagoondrum/core/spread"
+	"lagoondrum/core/table"
 	"lagoondrum/core/text"
 	"lagoondrum/io/stats"
 )
@@ -22,6 +23,8 @@
 	refusals    map[lists.Name]Refusal
 	scope       *stats.Scope
 	log         *zap.Logger
+	place       table.Place
+	overlay     *spread.Overlay // For the VMs in force.
 }
 
 // Refusal is the newest edit of a list that was not valid.
@@ -52,9 +55,19 @@
 // Refusal returns the newest refused edit since then, or nil.
 func (sta State) Refusal() *Refusal { return sta.refusal }
 
-// New returns a set without lists.
-func New(scope *stats.Scope, log *zap.Logger) *Lists {
-	return &Lists{store: spread.NewStore(), refusals: make(map[lists.Name]Refusal), scope: scope, log: log}
+// New returns a set without lists for a process at place.
+func New(place table.Place, scope *stats.Scope, log *zap.Logger) *Lists {
+	return &Lists{
+		store: spread.NewStore(), refusals: make(map[lists.Name]Refusal), scope: scope, log: log,
+		place: place, overlay: &spread.Overlay{},
+	}
+}
+
+// Overlay returns the place of the process among all, for the VMs in force.
+func (lst *Lists) Overlay() *spread.Overlay {
+	lst.mu.Lock()
+	defer lst.mu.Unlock()
+	return lst.overlay
 }
 
 // Subscribe has fn called after each change, with the name of the list.
@@ -93,6 +106,9 @@
 	case spread.Adopted:
 		delete(lst.refusals, name)
 		tell = lst.subscribers
+		if vms, ok := res.List.(*lists.VMs); ok {
+			lst.overlay = spread.NewOverlay(vms, lst.place.Self(), lst.place.Zone())
+		}
 		lst.scope.Gauge("listRevision", "list", string(name)).Update(float64(revision))
 		lst.log.Info("list in force", zap.String("list", string(name)), zap.Uint64("revision", revision))
 	case spread.Refused:
--- a/io/feed/reader.go
+++ b/io/feed/reader.go
@@ -14,7 +14,6 @@
 
 	"lagoondrum/core/lists"
 	"lagoondrum/core/spread"
-	"lagoondrum/core/table"
 	"lagoondrum/core/text"
 )
 
@@ -33,7 +32,6 @@
 type Reader struct {
 	name     lists.Name
 	lists    *Lists
-	place    table.Place
 	platform netip.AddrPort
 	client   *http.Client
 	seen     uint64 // The highest revision that was read, refused ones included.
@@ -50,11 +48,11 @@
 }
 
 // NewReaders returns one reader for each list.
-func NewReaders(lst *Lists, place table.Place, platform netip.AddrPort) []*Reader {
+func NewReaders(lst *Lists, platform netip.AddrPort) []*Reader {
 	client := &http.Client{Timeout: readTimeout}
 	var all []*Reader
 	for _, name := range lists.Names() {
-		all = append(all, &Reader{name: name, lists: lst, place: place, platform: platform, client: client})
+		all = append(all, &Reader{name: name, lists: lst, platform: platform, client: client})
 	}
 	return all
 }
@@ -66,7 +64,7 @@
 func (rdr *Reader) Serve(ctx context.Context) error {
 	retry := minRetry
 	for ctx.Err() == nil {
-		rank := spread.ReaderRank(rdr.lists.VMs(), rdr.place.Self(), rdr.place.Zone())
+		rank := rdr.lists.Overlay().Rank()
 		if time.Now().Before(spread.TakeoverAt(rdr.lists.Confirmed(), rank)) {
 			pause(ctx, idleLook)
 			continue
--- /dev/null
+++ b/io/peer/codec_test.go
@@ -0,0 +1,54 @@
+package peer
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"lagoondrum/core/lists"
+	"lagoondrum/core/spread"
+	"lagoondrum/core/text"
+	"lagoondrum/io/peer/internal/wire"
+)
+
+func TestUpdateSurvivesTheWire(t *testing.T) {
+	upd := spread.NewUpdate(lists.PlansName, spread.NewVersion(1, 2), spread.NewVersion(3, 4),
+		[]string{"[plan a]\n", "[plan b]\n"}, []string{"plan c"})
+	encoded, err := encodeUpdate(upd)
+	assert.NilError(t, err)
+	got, err := decodeUpdate(encoded)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Name(), upd.Name())
+	assert.Equal(t, got.Base(), upd.Base())
+	assert.Equal(t, got.Version(), upd.Version())
+	assert.DeepEqual(t, got.Changed(), upd.Changed())
+	assert.DeepEqual(t, got.Removed(), upd.Removed())
+}
+
+func FuzzStep(f *testing.F) {
+	upd, err := encodeUpdate(spread.NewUpdate(lists.PlansName, spread.Version{}, spread.NewVersion(1, 1), []string{"[plan a]\n"}, nil))
+	assert.NilError(f, err)
+	raw, err := proto.Marshal(exchangeStep(&wire.Exchange{Updates: []*wire.Update{upd}}))
+	assert.NilError(f, err)
+	f.Add(raw)
+	f.Add([]byte{0x0a, 0x01})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		stp := &wire.Step{}
+		if proto.Unmarshal(raw, stp) != nil {
+			return
+		}
+		_ = decodeOffer(stp.GetOffer())
+		for _, upd := range stp.GetExchange().GetUpdates() {
+			got, err := decodeUpdate(upd)
+			if err != nil {
+				continue
+			}
+			size := 0
+			for _, body := range got.Changed() {
+				size += len(body)
+			}
+			assert.Assert(t, size <= 2*text.MaxBytes)
+		}
+	})
+}
--- a/io/peer/exchange.go
+++ b/io/peer/exchange.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"lagoondrum/core/lists"
-	"lagoondrum/core/spread"
 	"lagoondrum/io/peer/internal/wire"
 )
 
@@ -47,11 +46,10 @@
 }
 
 func (msh *Mesh) peers() []netip.AddrPort {
-	peers := spread.Peers(msh.lists.VMs(), msh.place.Self(), msh.place.Zone())
-	if len(peers) == 0 {
-		return msh.seeds
+	if peers := msh.lists.Overlay().Peers(); len(peers) > 0 {
+		return peers
 	}
-	return peers
+	return msh.seeds
 }
 
 func (exc *exchanger) withAll(ctx context.Context) {
--- a/io/peer/work.go
+++ b/io/peer/work.go
@@ -29,6 +29,9 @@
 	Deadline time.Time
 	ToOwner  bool // The receiver owns the work; else it runs it for the owner.
 	MayWait  bool // The receiver may queue the work; else it takes it only when a slot is free.
+
+	// FetchOnly asks the owner for the recorded outcome and runs nothing.
+	FetchOnly bool
 }
 
 // Response is what became of a piece of work. Status, Header and Body count
@@ -205,7 +208,7 @@
 	return &wire.Step{Kind: &wire.Step_Offer{Offer: &wire.Offer{
 		WorkId: req.WorkID, Customer: req.Customer, Plan: req.Plan, Service: req.Service,
 		RemainingMillis: time.Until(req.Deadline).Milliseconds(),
-		Method:          req.Method, Path: req.Path, Header: encodeHeader(req.Header), ToOwner: req.ToOwner, MayWait: req.MayWait,
+		Method:          req.Method, Path: req.Path, Header: encodeHeader(req.Header), ToOwner: req.ToOwner, MayWait: req.MayWait, FetchOnly: req.FetchOnly,
 	}}}
 }
 
@@ -214,7 +217,7 @@
 	return Request{
 		WorkID: off.GetWorkId(), Customer: off.GetCustomer(), Plan: off.GetPlan(), Service: off.GetService(),
 		Method: off.GetMethod(), Path: off.GetPath(), Header: decodeHeader(off.GetHeader()),
-		Deadline: time.Now().Add(remaining), ToOwner: off.GetToOwner(), MayWait: off.GetMayWait(),
+		Deadline: time.Now().Add(remaining), ToOwner: off.GetToOwner(), MayWait: off.GetMayWait(), FetchOnly: off.GetFetchOnly(),
 	}
 }
 
--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -52,7 +52,7 @@
 	}
 	scope := stats.New(set.Name())
 	bas := &base{set: set, idn: idn, scope: scope, log: log, ready: make(chan struct{})}
-	bas.lists = feed.New(scope, log)
+	bas.lists = feed.New(set.Place(), scope, log)
 	bas.sup = suture.New(set.Name(), suture.Spec{EventHook: bas.logEvent})
 	return bas, nil
 }
@@ -86,7 +86,7 @@
 	}
 	bas.lists.Subscribe(bas.mesh.Changed)
 	bas.mesh.Supervise(bas.sup)
-	for _, rdr := range feed.NewReaders(bas.lists, bas.set.Place(), bas.set.Platform()) {
+	for _, rdr := range feed.NewReaders(bas.lists, bas.set.Platform()) {
 		bas.sup.Add(rdr)
 	}
 	return nil
