--- a/Makefile
+++ b/Makefile
@@ -11,13 +11,19 @@
 test:
 	$(GO) test -count=1 -timeout 40m ./...
 
-bench:
-	$(GO) test -run '^$$' -bench . -benchmem ./...
+bench: build
+	bin/bench
+
+FUZZ_TIME ?= 30s
 
 fuzz:
-	$(GO) test ./core/... -rapid.checks=20000
+	$(GO) test ./core/proof -count=1 -timeout 60m -rapid.checks=20000
+	$(GO) test ./core/lists -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_TIME)
+	$(GO) test ./core/frame -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_TIME)
+	$(GO) test ./core/token -run '^$$' -fuzz FuzzOpen -fuzztime $(FUZZ_TIME)
+	$(GO) test ./io/peer -run '^$$' -fuzz FuzzStep -fuzztime $(FUZZ_TIME)
 
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	$(GO) vet ./...
-	$(GO) tool staticcheck -checks all,-ST1000 ./...
+	$(GO) tool staticcheck -checks all ./...
--- a/cmd/bench/fleet.go
+++ b/cmd/bench/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -99,12 +98,7 @@
 
 func (flt *fleet) awaitReady(hst stand.Host) error {
 	for deadline := time.Now().Add(fleetWait); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-		rsp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/v1/health", hst.Admin))
-		if err != nil {
-			continue
-		}
-		_ = rsp.Body.Close()
-		if rsp.StatusCode == http.StatusOK {
+		if hst.Ready() {
 			return nil
 		}
 	}
@@ -160,24 +154,6 @@
 	return pages * pageBytes
 }
 
-func (flt *fleet) revision(hst stand.Host) uint64 {
-	rsp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/v1/lists", hst.Admin))
-	if err != nil {
-		return 0
-	}
-	defer rsp.Body.Close()
-	var body struct {
-		Lists []struct {
-			Name     string `json:"name"`
-			Revision uint64 `json:"revision"`
-		} `json:"lists"`
-	}
-	if json.NewDecoder(rsp.Body).Decode(&body) != nil {
-		return 0
-	}
-	return body.Lists[0].Revision
-}
-
 // fleetSeries are the slopes by fleet size.
 type fleetSeries struct {
 	steady, perEdit, calls, inForce, balancerCPU, agentCPU, balancerMem, agentMem, restart, restartBytes *series
@@ -238,7 +214,7 @@
 		body := stand.CustomersList(stand.Customers[:2+num%2]...)
 		flt.platform.Publish("customers", uint64(num+2), []byte(body))
 		for _, hst := range flt.scn.Hosts() {
-			for flt.revision(hst) < uint64(num+2) && time.Since(at) < fleetWait {
+			for hst.Revision("customers") < uint64(num+2) && time.Since(at) < fleetWait {
 				time.Sleep(5 * time.Millisecond)
 			}
 		}
--- a/io/fault/region_test.go
+++ b/io/fault/region_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -158,12 +157,8 @@
 	reg.t.Helper()
 	deadline := time.Now().Add(readyLimit)
 	for time.Now().Before(deadline) {
-		rsp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/v1/health", hst.Admin))
-		if err == nil {
-			_ = rsp.Body.Close()
-			if rsp.StatusCode == http.StatusOK {
-				return
-			}
+		if hst.Ready() {
+			return
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
@@ -249,7 +244,7 @@
 func (reg *region) awaitRevision(t *testing.T, hst stand.Host, list string, want uint64, deadline time.Time) {
 	t.Helper()
 	for time.Now().Before(deadline) {
-		if reg.revision(hst, list) >= want {
+		if hst.Revision(list) >= want {
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -262,33 +257,10 @@
 	t.Helper()
 	for time.Now().Before(deadline) {
 		for _, hst := range reg.scn.Balancers() {
-			if reg.revision(hst, list) >= want {
+			if hst.Revision(list) >= want {
 				return
 			}
 		}
 	}
 	t.Fatalf("no balancer has revision %d of %s in force", want, list)
 }
-
-func (reg *region) revision(hst stand.Host, list string) uint64 {
-	rsp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/v1/lists", hst.Admin))
-	if err != nil {
-		return 0
-	}
-	defer rsp.Body.Close()
-	var body struct {
-		Lists []struct {
-			Name     string `json:"name"`
-			Revision uint64 `json:"revision"`
-		} `json:"lists"`
-	}
-	if json.NewDecoder(rsp.Body).Decode(&body) != nil {
-		return 0
-	}
-	for _, lst := range body.Lists {
-		if lst.Name == list {
-			return lst.Revision
-		}
-	}
-	return 0
-}
--- /dev/null
+++ b/io/peer/internal/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire holds the generated messages between the processes of the system.
+package wire
--- a/io/stand/scene.go
+++ b/io/stand/scene.go
@@ -1,7 +1,9 @@
 package stand
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -296,3 +298,38 @@
 	}
 	return FeedService
 }
+
+// Ready reports whether a process says that it serves.
+func (hst Host) Ready() bool {
+	rsp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/v1/health", hst.Admin))
+	if err != nil {
+		return false
+	}
+	_ = rsp.Body.Close()
+	return rsp.StatusCode == http.StatusOK
+}
+
+// Revision returns the revision of a list that a process says is in force, 0
+// when it does not answer.
+func (hst Host) Revision(list string) uint64 {
+	rsp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/v1/lists", hst.Admin))
+	if err != nil {
+		return 0
+	}
+	defer rsp.Body.Close()
+	var body struct {
+		Lists []struct {
+			Name     string `json:"name"`
+			Revision uint64 `json:"revision"`
+		} `json:"lists"`
+	}
+	if json.NewDecoder(rsp.Body).Decode(&body) != nil {
+		return 0
+	}
+	for _, lst := range body.Lists {
+		if lst.Name == list {
+			return lst.Revision
+		}
+	}
+	return 0
+}
