--- /dev/null
+++ b/core/ledger/ledger_test.go
@@ -0,0 +1,98 @@
+package ledger_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lagoondrum/core/ledger"
+	"lagoondrum/core/lists"
+	"lagoondrum/core/relay"
+)
+
+var (
+	now   = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	owner = ledger.NewOwner(netip.MustParseAddrPort("10.0.0.1:7842"), 42)
+)
+
+func keys(t *testing.T) *lists.Keys {
+	t.Helper()
+	kys, err := lists.ParseKeys(fmt.Appendf(nil, "[key 1]\nsecret = %064x\n[key 2]\nsecret = %064x\n[end]\n", 1, 2))
+	assert.NilError(t, err)
+	return kys
+}
+
+func TestWorkIDIsSealedForItsCustomer(t *testing.T) {
+	kys := keys(t)
+	ses, ok := ledger.New(owner).Open()
+	assert.Assert(t, ok)
+	text := ledger.Format(ses.Prefix(kys.All()[0], "till-7"), 9)
+	id, err := ledger.ParseID(text, "till-7", kys.Find)
+	assert.NilError(t, err)
+	assert.Equal(t, id, ledger.NewID(ses, 9))
+	for name, tc := range map[string]struct{ text, customer string }{
+		"other customer": {text, "till-8"},
+		"altered":        {"B" + text[1:], "till-7"},
+		"no counter":     {text[:len(text)-2], "till-7"},
+		"counter 0":      {text[:len(text)-1] + "0", "till-7"},
+		"empty":          {"", "till-7"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := ledger.ParseID(tc.text, tc.customer, kys.Find)
+			assert.ErrorContains(t, err, "not a work ID")
+		})
+	}
+}
+
+// assertBegin checks the verdict on an ID.
+func assertBegin(t *testing.T, ldg *ledger.Ledger, id ledger.ID, want ledger.Verdict) {
+	t.Helper()
+	got := ldg.Begin(id, now.Add(time.Minute))
+	assert.Equal(t, fmt.Sprintf("%T", got), fmt.Sprintf("%T", want))
+}
+
+func TestForgottenWorkIsNotBegunAgain(t *testing.T) {
+	ldg := ledger.New(owner)
+	ses, _ := ldg.Open()
+	id := ledger.NewID(ses, 1)
+	assertBegin(t, ldg, id, ledger.Fresh{})
+	assert.Assert(t, ldg.Start(id, now))
+	ldg.Finish(id, relay.Done, ledger.NewAnswer(200, nil, []byte("ok")))
+	assertBegin(t, ldg, id, ledger.Known{})
+	ldg.Sweep(now.Add(time.Hour))
+	assert.Equal(t, ldg.Len(), 0)
+	assert.Equal(t, ldg.Bytes(), 0)
+	assertBegin(t, ldg, id, ledger.Forgotten{})
+	assertBegin(t, ldg, ledger.NewID(ses, 2), ledger.Fresh{})
+}
+
+func TestFullLedgerRefuses(t *testing.T) {
+	ldg := ledger.New(owner)
+	ses, _ := ldg.Open()
+	for counter := range uint32(ledger.MaxEntries) {
+		assertBegin(t, ldg, ledger.NewID(ses, counter+1), ledger.Fresh{})
+	}
+	assertBegin(t, ldg, ledger.NewID(ses, ledger.MaxEntries+1), ledger.Full{})
+}
+
+func TestStartedWorkIsNeverCalledNotRun(t *testing.T) {
+	ldg := ledger.New(owner)
+	ses, _ := ldg.Open()
+	id := ledger.NewID(ses, 1)
+	assertBegin(t, ldg, id, ledger.Fresh{})
+	assert.Assert(t, ldg.Start(id, now))
+	ldg.Finish(id, relay.NotRun, ledger.Answer{})
+	known, _ := ldg.Fetch(id)
+	assert.Equal(t, known.Outcome, relay.Unknown)
+}
+
+func TestWorkIsNotStartedPastItsDeadline(t *testing.T) {
+	ldg := ledger.New(owner)
+	ses, _ := ldg.Open()
+	id := ledger.NewID(ses, 1)
+	assertBegin(t, ldg, id, ledger.Fresh{})
+	assert.Assert(t, !ldg.Start(id, now.Add(time.Minute)))
+}
--- a/io/conf/conf_test.go
+++ b/io/conf/conf_test.go
@@ -18,7 +18,8 @@
 
 func TestSettingsAreRefused(t *testing.T) {
 	for name, tc := range map[string]struct{ raw, want string }{
-		"unknown section": {"[entries]\nport = 1\n", "s.ini:2: unknown setting port"},
+		"unknown section": {"[entries]\nport = 1\n", "s.ini:1: unknown section [entries]"},
+		"empty section":   {"[plan gold]\n", "s.ini:1: unknown section [plan gold]"},
 		"unknown setting": {"[entry]\nports = 1\n", "s.ini:2: unknown setting ports"},
 		"bad port":        {"[entry]\nport = 70000\n", "s.ini:2: port is"},
 		"bad address":     {"[peer]\naddress = localhost:1\n", "s.ini:2: address is"},
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -94,6 +94,10 @@
 }
 
 func (set *Settings) read(sec *text.Section, fs *text.Faults) {
+	if !hasSection(sec.Title()) {
+		fs.Add(sec.Line(), fmt.Sprintf("unknown section [%s]", sec.Title()))
+		return
+	}
 	for _, key := range sec.Keys() {
 		dec, ok := find(sec.Title(), key.Name())
 		if !ok {
@@ -118,6 +122,15 @@
 	}
 }
 
+func hasSection(title string) bool {
+	for _, dec := range declared {
+		if dec.section == title {
+			return true
+		}
+	}
+	return false
+}
+
 func find(section, name string) (setting, bool) {
 	for _, dec := range declared {
 		if dec.section == section && dec.name == name {
--- a/io/feed/feed.go
+++ b/io/feed/feed.go
@@ -17,6 +17,8 @@
 
 // Lists is the set of lists in force, safe for concurrent use.
 type Lists struct {
+	notify sync.Mutex // Held while subscribers run, so that the last one to run sees the newest lists.
+
 	mu          sync.Mutex
 	store       *spread.Store
 	subscribers []func(lists.Name)
@@ -70,7 +72,9 @@
 	return lst.overlay
 }
 
-// Subscribe has fn called after each change, with the name of the list.
+// Subscribe has fn called after each change, with the name of the list. Calls
+// come one at a time, and fn has to read the lists itself: a newer one may be in
+// force by then.
 func (lst *Lists) Subscribe(fn func(lists.Name)) {
 	lst.mu.Lock()
 	defer lst.mu.Unlock()
@@ -118,6 +122,8 @@
 	case spread.Kept:
 	}
 	lst.mu.Unlock()
+	lst.notify.Lock()
+	defer lst.notify.Unlock()
 	for _, fn := range tell {
 		fn(name)
 	}
--- /dev/null
+++ b/io/feed/feed_test.go
@@ -0,0 +1,74 @@
+package feed_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"lagoondrum/core/lists"
+	"lagoondrum/core/table"
+	"lagoondrum/io/feed"
+	"lagoondrum/io/stats"
+)
+
+func customers(num int) []byte {
+	return fmt.Appendf(nil, "[customer c%d]\nplan = gold\ncertificate = c\n[end]\n", num)
+}
+
+func newLists() *feed.Lists { return feed.New(table.Place{}, stats.New("test"), zap.NewNop()) }
+
+// TestSlowSubscriberDoesNotBringBackAnOldList has a subscriber that is still
+// busy with one edit when the next one comes. What it puts in force last has to
+// be the newer one.
+func TestSlowSubscriberDoesNotBringBackAnOldList(t *testing.T) {
+	lst := newLists()
+	var mu sync.Mutex
+	inForce, calls := uint64(0), 0
+	busy, release := make(chan struct{}), make(chan struct{})
+	lst.Subscribe(func(name lists.Name) {
+		seen := lst.Version(name).Revision()
+		mu.Lock()
+		calls++
+		first := calls == 1
+		mu.Unlock()
+		if first {
+			close(busy)
+			<-release
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		inForce = seen
+	})
+	var wait sync.WaitGroup
+	wait.Go(func() { lst.Offer(lists.CustomersName, 1, customers(1), time.Now()) })
+	<-busy
+	wait.Go(func() { lst.Offer(lists.CustomersName, 2, customers(2), time.Now()) })
+	for lst.Version(lists.CustomersName).Revision() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	time.AfterFunc(50*time.Millisecond, func() { close(release) })
+	wait.Wait()
+	assert.Equal(t, inForce, uint64(2))
+}
+
+func TestRefusedEditIsSeenAndChangesNothing(t *testing.T) {
+	lst := newLists()
+	lst.Offer(lists.CustomersName, 1, customers(1), time.Now())
+	lst.Offer(lists.CustomersName, 2, []byte("[customer a]\n"), time.Now())
+	sta := lst.State(lists.CustomersName)
+	assert.Equal(t, sta.Version().Revision(), uint64(1))
+	assert.Equal(t, sta.Refusal().Revision(), uint64(2))
+	lst.Offer(lists.CustomersName, 3, customers(3), time.Now())
+	assert.Assert(t, lst.State(lists.CustomersName).Refusal() == nil)
+}
+
+func TestLowerRevisionIsNotTaken(t *testing.T) {
+	lst := newLists()
+	lst.Offer(lists.CustomersName, 5, customers(5), time.Now())
+	lst.Offer(lists.CustomersName, 4, customers(4), time.Now())
+	assert.Equal(t, lst.Customers().All()[0].Name(), "c5")
+}
