Tie proof of not run to its attempt, and drive ten times the cases

The trace: one handover to a peer was lost before it was granted, the work was started at another, and then the first loss was reported once more and freed the start of the second. Agents report a loss once, so it could not happen in the product, but the ledger had to rely on that. Another run had a balancer drop an open flow after two key rotations: there the test let a balancer lag 20 s, since a second edit moved the deadline of the first; the promise is 14 s for each.

Change: a start has a number and only proof about the newest counts; the test keeps a deadline for each edit; 1,000 cases are the default in place of 100. A unit test first for the ledger.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -35,10 +35,14 @@
 type entry struct {
 	outcome  relay.Outcome
 	started  bool
+	attempt  Attempt // The newest one.
 	deadline time.Time
 	answer   Answer
 }
 
+// Attempt numbers the starts of one piece of work, from 1.
+type Attempt uint32
+
 // Answer is a kept answer of an upstream.
 type Answer struct {
 	status int
@@ -138,21 +142,23 @@
 	return Fresh{}
 }
 
-// Start reports whether work may be handed over now. It says yes at most once
-// for an ID until GiveBack, and never from the deadline on.
-func (ldg *Ledger) Start(id ID, now time.Time) bool {
+// Start reports whether work may be handed over now, and numbers the attempt. It
+// says yes at most once for an ID until GiveBack, and never from the deadline on.
+func (ldg *Ledger) Start(id ID, now time.Time) (Attempt, bool) {
 	en, ok := ldg.entries[id]
 	if !ok || en.started || en.outcome != relay.Pending || !now.Before(en.deadline) {
-		return false
+		return 0, false
 	}
 	en.started = true
-	return true
+	en.attempt++
+	return en.attempt, true
 }
 
-// GiveBack records proof that started work was not run, so that it may be
-// started elsewhere.
-func (ldg *Ledger) GiveBack(id ID) {
-	if en, ok := ldg.entries[id]; ok && en.outcome == relay.Pending {
+// GiveBack records proof that an attempt did not run the work, so that it may be
+// started elsewhere. Proof about an earlier attempt than the newest counts for
+// nothing.
+func (ldg *Ledger) GiveBack(id ID, att Attempt) {
+	if en, ok := ldg.entries[id]; ok && en.outcome == relay.Pending && en.attempt == att {
 		en.started = false
 	}
 }
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -54,12 +54,33 @@
 	assert.Equal(t, fmt.Sprintf("%T", got), fmt.Sprintf("%T", want))
 }
 
+// assertStart checks whether work may be handed over, and returns the attempt.
+func assertStart(t *testing.T, ldg *ledger.Ledger, id ledger.ID, want bool) ledger.Attempt {
+	t.Helper()
+	att, ok := ldg.Start(id, now)
+	assert.Equal(t, ok, want)
+	return att
+}
+
+func TestOldProofDoesNotFreeANewAttempt(t *testing.T) {
+	ldg := ledger.New(owner)
+	ses, _ := ldg.Open()
+	id := ledger.NewID(ses, 1)
+	assertBegin(t, ldg, id, ledger.Fresh{})
+	ldg.GiveBack(id, 0)
+	first := assertStart(t, ldg, id, true)
+	ldg.GiveBack(id, first)
+	assertStart(t, ldg, id, true)
+	ldg.GiveBack(id, first)
+	assertStart(t, ldg, id, false)
+}
+
 func TestForgottenWorkIsNotBegunAgain(t *testing.T) {
 	ldg := ledger.New(owner)
 	ses, _ := ldg.Open()
 	id := ledger.NewID(ses, 1)
 	assertBegin(t, ldg, id, ledger.Fresh{})
-	assert.Assert(t, ldg.Start(id, now))
+	assertStart(t, ldg, id, true)
 	ldg.Finish(id, relay.Done, ledger.NewAnswer(200, nil, []byte("ok")))
 	assertBegin(t, ldg, id, ledger.Known{})
 	ldg.Sweep(now.Add(time.Hour))
@@ -83,7 +104,7 @@
 	ses, _ := ldg.Open()
 	id := ledger.NewID(ses, 1)
 	assertBegin(t, ldg, id, ledger.Fresh{})
-	assert.Assert(t, ldg.Start(id, now))
+	assertStart(t, ldg, id, true)
 	ldg.Finish(id, relay.NotRun, ledger.Answer{})
 	known, _ := ldg.Fetch(id)
 	assert.Equal(t, known.Outcome, relay.Unknown)
@@ -94,5 +115,6 @@
 	ses, _ := ldg.Open()
 	id := ledger.NewID(ses, 1)
 	assertBegin(t, ldg, id, ledger.Fresh{})
-	assert.Assert(t, !ldg.Start(id, now.Add(time.Minute)))
+	_, ok := ldg.Start(id, now.Add(time.Minute))
+	assert.Assert(t, !ok)
 }
--- a/core/proof/flow_test.go
+++ b/core/proof/flow_test.go
@@ -62,10 +62,16 @@
 }
 
 type flowBalancer struct {
-	ring    *token.Ring
-	vmsAt   int
-	router  *route.Router
-	keysDue time.Time
+	ring   *token.Ring
+	vmsAt  int
+	router *route.Router
+	due    []dueEdit
+}
+
+// dueEdit is a published state that a balancer has in force by a deadline.
+type dueEdit struct {
+	deadline time.Time
+	index    int
 }
 
 type openFlow struct {
@@ -246,7 +252,7 @@
 	mch.publish()
 	mch.takeKeys()
 	for _, bal := range mch.balancers {
-		bal.keysDue = mch.now.Add(inForce)
+		bal.due = append(bal.due, dueEdit{mch.now.Add(inForce), len(mch.published) - 1})
 	}
 }
 
@@ -261,8 +267,9 @@
 func (mch *flowMachine) pass(t *rapid.T) {
 	mch.now = mch.now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "seconds")) * time.Second)
 	for _, bal := range mch.balancers {
-		if !bal.keysDue.IsZero() && !mch.now.Before(bal.keysDue) {
-			mch.refresh(bal, len(mch.published)-1)
+		for len(bal.due) > 0 && !mch.now.Before(bal.due[0].deadline) {
+			mch.refresh(bal, max(bal.vmsAt, bal.due[0].index))
+			bal.due = bal.due[1:]
 		}
 	}
 }
--- a/core/proof/main_test.go
+++ b/core/proof/main_test.go
@@ -14,6 +14,9 @@
 // seed makes every run of the state machines the same.
 const seed = "20261204"
 
+// cases is how many courses of events each property is driven through.
+const cases = "1000"
+
 var epoch = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
 func TestMain(m *testing.M) {
@@ -21,6 +24,9 @@
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
 		_ = flag.Set("rapid.seed", seed)
 	}
+	if checks := flag.Lookup("rapid.checks"); checks.Value.String() == checks.DefValue {
+		_ = flag.Set("rapid.checks", cases)
+	}
 	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
--- a/core/proof/once_test.go
+++ b/core/proof/once_test.go
@@ -15,11 +15,11 @@
 // onceRules are the decisions that keep work from running twice. Mutants
 // replace one of them.
 type onceRules struct {
-	start    func(ldg *ledger.Ledger, id ledger.ID, now time.Time) bool
+	start    func(ldg *ledger.Ledger, id ledger.ID, now time.Time) (ledger.Attempt, bool)
 	lost     func(own *relay.Owner) relay.Outcome
 	peerRun  func(pr *relay.Peer, now time.Time) bool
 	begin    func(ldg *ledger.Ledger, id ledger.ID, deadline time.Time) ledger.Verdict
-	giveBack func(ldg *ledger.Ledger, id ledger.ID, out relay.Outcome)
+	giveBack func(ldg *ledger.Ledger, id ledger.ID, att ledger.Attempt, out relay.Outcome)
 	gone     relay.Outcome // What is said when the owner is gone.
 }
 
@@ -32,9 +32,9 @@
 		},
 		peerRun: (*relay.Peer).Run,
 		begin:   (*ledger.Ledger).Begin,
-		giveBack: func(ldg *ledger.Ledger, id ledger.ID, out relay.Outcome) {
+		giveBack: func(ldg *ledger.Ledger, id ledger.ID, att ledger.Attempt, out relay.Outcome) {
 			if out == relay.NotRun {
-				ldg.GiveBack(id)
+				ldg.GiveBack(id, att)
 			}
 		},
 		gone: relay.Unknown,
@@ -65,6 +65,7 @@
 	owner    *ownerNode
 	own      *relay.Owner
 	peer     *relay.Peer
+	attempt  ledger.Attempt
 	runMsgs  int // Copies of the run message that the network still holds.
 	answered bool
 }
@@ -158,13 +159,14 @@
 }
 
 func (mch *onceMachine) runHere(t *rapid.T, id ledger.ID, nod *ownerNode) {
-	if !mch.rules.start(nod.ldg, id, mch.now) {
+	att, ok := mch.rules.start(nod.ldg, id, mch.now)
+	if !ok {
 		mch.finish(nod, id, relay.NotRun)
 		return
 	}
 	mch.oracle.runs[id]++
 	if rapid.Bool().Draw(t, "answerBreaks") {
-		mch.rules.giveBack(nod.ldg, id, relay.Unknown)
+		mch.rules.giveBack(nod.ldg, id, att, relay.Unknown)
 		mch.settleOrRetry(t, id, nod, relay.Unknown)
 		return
 	}
@@ -174,7 +176,7 @@
 // settleOrRetry is what an agent does after a failed attempt: it tries another
 // upstream when it may start the work again, and else records the outcome.
 func (mch *onceMachine) settleOrRetry(t *rapid.T, id ledger.ID, nod *ownerNode, out relay.Outcome) {
-	if mch.rules.start(nod.ldg, id, mch.now) {
+	if _, ok := mch.rules.start(nod.ldg, id, mch.now); ok {
 		mch.oracle.runs[id]++
 		mch.finish(nod, id, relay.Done)
 		return
@@ -208,9 +210,11 @@
 	if hov.owner.ldg.Owner() != hov.id.Owner() || !hov.own.Grant(mch.now) {
 		return
 	}
-	if !mch.rules.start(hov.owner.ldg, hov.id, mch.now) {
+	att, ok := mch.rules.start(hov.owner.ldg, hov.id, mch.now)
+	if !ok {
 		return
 	}
+	hov.attempt = att
 	hov.runMsgs += rapid.IntRange(1, 2).Draw(t, "copies")
 }
 
@@ -234,7 +238,7 @@
 	if hov.owner.ldg.Owner() != hov.id.Owner() {
 		return
 	}
-	mch.rules.giveBack(hov.owner.ldg, hov.id, out)
+	mch.rules.giveBack(hov.owner.ldg, hov.id, hov.attempt, out)
 	mch.settleOrRetryLost(t, hov, out)
 }
 
@@ -284,7 +288,7 @@
 func TestOnceOracleCatches(t *testing.T) {
 	mutants := map[string]func(*onceRules){
 		"start says yes twice": func(rls *onceRules) {
-			rls.start = func(ldg *ledger.Ledger, id ledger.ID, now time.Time) bool { return true }
+			rls.start = func(*ledger.Ledger, ledger.ID, time.Time) (ledger.Attempt, bool) { return 0, true }
 		},
 		"loss after run is called notRun": func(rls *onceRules) {
 			rls.lost = func(*relay.Owner) relay.Outcome { return relay.NotRun }
@@ -293,7 +297,7 @@
 			rls.peerRun = func(*relay.Peer, time.Time) bool { return true }
 		},
 		"broken answer gives the work back": func(rls *onceRules) {
-			rls.giveBack = func(ldg *ledger.Ledger, id ledger.ID, _ relay.Outcome) { ldg.GiveBack(id) }
+			rls.giveBack = func(ldg *ledger.Ledger, id ledger.ID, att ledger.Attempt, _ relay.Outcome) { ldg.GiveBack(id, att) }
 		},
 		"a gone owner is called notRun": func(rls *onceRules) { rls.gone = relay.NotRun },
 		"forgotten work begins anew": func(rls *onceRules) {
@@ -304,7 +308,7 @@
 				}
 				return ver
 			}
-			rls.start = func(*ledger.Ledger, ledger.ID, time.Time) bool { return true }
+			rls.start = func(*ledger.Ledger, ledger.ID, time.Time) (ledger.Attempt, bool) { return 0, true }
 		},
 	}
 	for name, mutate := range mutants {
--- a/io/agent/work.go
+++ b/io/agent/work.go
@@ -92,15 +92,17 @@
 }
 
 func (wkr *worker) claimOf(id ledger.ID) claim {
-	start := func() bool {
+	var att ledger.Attempt
+	start := func() (ok bool) {
 		wkr.mu.Lock()
 		defer wkr.mu.Unlock()
-		return wkr.ledger.Start(id, time.Now())
+		att, ok = wkr.ledger.Start(id, time.Now())
+		return ok
 	}
 	giveBack := func() {
 		wkr.mu.Lock()
 		defer wkr.mu.Unlock()
-		wkr.ledger.GiveBack(id)
+		wkr.ledger.GiveBack(id, att)
 	}
 	return claim{start: start, giveBack: giveBack}
 }
