--- a/io/agent/agent_test.go
+++ b/io/agent/agent_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -126,12 +127,9 @@
 // TestSameIDRunsOnce hands one ID in many times at once, to an upstream whose
 // connections break: neither the agent nor its HTTP transport may repeat it.
 func TestSameIDRunsOnce(t *testing.T) {
-	var mu sync.Mutex
-	runs := 0
+	var runs atomic.Int64
 	agt := newTestAgent(t, func(http.ResponseWriter, *http.Request) {
-		mu.Lock()
-		runs++
-		mu.Unlock()
+		runs.Add(1)
 		panic(http.ErrAbortHandler)
 	})
 	id := agt.newID(t)
@@ -143,5 +141,5 @@
 		})
 	}
 	wait.Wait()
-	assert.Equal(t, runs, 1)
+	assert.Equal(t, runs.Load(), int64(1))
 }
