Say not run only where it is proved for every attempt

Cause, by reading as a newcomer: four places said notRun of work that an earlier attempt may have run, or may still run. An owner that got run after the deadline refused with notRun though its ledger was not asked. A full ledger said notRun and would have run a late copy. A plan's refusal said notRun of work with an ID. The client took a refusal after a lost answer at its word.

Ruled out: the state machine could not see them; they are in io, and the model's ledger is never full.

Change: a late run at the owner proves nothing; a refused ID counts as forgotten; a refusal of work with an ID says unknown, and the client reports a refusal as such, or as unknown after a lost answer. A process that is stopped before it is ready ends with exit code 0.

--- a/core/ledger/ledger.go
+++ b/core/ledger/ledger.go
@@ -136,6 +136,7 @@
 		return Forgotten{}
 	}
 	if len(ldg.entries) >= MaxEntries || ldg.bytes >= MaxBytes {
+		ses.forgotten = id.counter // A late copy must not run: its caller is told that it was not.
 		return Full{}
 	}
 	ldg.entries[id] = &entry{deadline: deadline}
--- a/core/ledger/ledger_test.go
+++ b/core/ledger/ledger_test.go
@@ -96,7 +96,13 @@
 	for counter := range uint32(ledger.MaxEntries) {
 		assertBegin(t, ldg, ledger.NewID(ses, counter+1), ledger.Fresh{})
 	}
-	assertBegin(t, ldg, ledger.NewID(ses, ledger.MaxEntries+1), ledger.Full{})
+	late := ledger.NewID(ses, ledger.MaxEntries+1)
+	assertBegin(t, ldg, late, ledger.Full{})
+	first := ledger.NewID(ses, 1)
+	ldg.Finish(first, relay.NotRun, ledger.Answer{})
+	ldg.Sweep(now.Add(time.Hour))
+	assertBegin(t, ldg, late, ledger.Forgotten{}) // Its caller was told that it was not run.
+	assertBegin(t, ldg, ledger.NewID(ses, ledger.MaxEntries+2), ledger.Fresh{})
 }
 
 func TestStartedWorkIsNeverCalledNotRun(t *testing.T) {
--- a/io/agent/agent_test.go
+++ b/io/agent/agent_test.go
@@ -143,3 +143,19 @@
 	wait.Wait()
 	assert.Equal(t, runs.Load(), int64(1))
 }
+
+// TestRefusalProvesNothingAboutWorkWithAnID checks what is said to a caller that
+// no plan allows: work that it names may have run before the plan changed.
+func TestRefusalProvesNothingAboutWorkWithAnID(t *testing.T) {
+	hdl := newTestAgent(t, answerOK).newHandler()
+	for work, want := range map[string]relay.Outcome{"": relay.NotRun, "some.1": relay.Unknown} {
+		t.Run("work "+work, func(t *testing.T) {
+			req := httptest.NewRequest(http.MethodPost, "/order", nil)
+			req.Header.Set(WorkField, work)
+			rec := httptest.NewRecorder()
+			hdl.ServeHTTP(rec, req)
+			assert.Equal(t, rec.Code, http.StatusForbidden)
+			assert.Equal(t, rec.Header().Get(OutcomeField), want.String())
+		})
+	}
+}
--- a/io/agent/handler.go
+++ b/io/agent/handler.go
@@ -77,8 +77,7 @@
 	flw, _ := req.Context().Value(flowKey{}).(*flow)
 	cus, reason := hdl.identify(flw, req)
 	if reason != "" {
-		hdl.meter.refusedCaller(reason)
-		writeError(rw, http.StatusForbidden, errorBody{Error: reason, Outcome: relay.NotRun.String()})
+		hdl.refuse(rw, req, reason)
 		return
 	}
 	switch {
@@ -93,6 +92,17 @@
 	}
 }
 
+// refuse answers a request that no plan allows. It proves nothing about work
+// with an ID, which may have run before the plan changed.
+func (hdl *handler) refuse(rw http.ResponseWriter, req *http.Request, reason string) {
+	hdl.meter.refusedCaller(reason)
+	out := relay.NotRun
+	if req.Header.Get(WorkField) != "" {
+		out = relay.Unknown
+	}
+	writeError(rw, http.StatusForbidden, errorBody{Error: reason, Outcome: out.String()})
+}
+
 // identify finds the customer of a request by its certificate, and checks that
 // its plan allows the service at the address it uses.
 func (hdl *handler) identify(flw *flow, req *http.Request) (customer, string) {
--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -211,8 +211,11 @@
 // outcome under the same ID until the deadline.
 func (cln *Client) attempt(ctx context.Context, lnk *link, req Request) (*Answer, error) {
 	work := lnk.nextID()
-	for {
+	for lost := false; ; lost = true {
 		ans, err := send(ctx, lnk, cln.cfg, req, work)
+		if ref, ok := err.(*RefusedError); ok && lost {
+			return nil, &UnknownError{Work: work, Reason: "refused after an answer was lost", Cause: ref}
+		}
 		if !errors.HasType(err, (*lostError)(nil)) {
 			return ans, err
 		}
@@ -260,13 +263,14 @@
 
 func judge(rsp *http.Response, body []byte, work string) (*Answer, error) {
 	reason := rsp.Header.Get(reasonField)
-	switch rsp.Header.Get(outcomeField) {
-	case "done":
+	outcome := rsp.Header.Get(outcomeField)
+	refused := rsp.StatusCode == http.StatusForbidden || rsp.StatusCode == http.StatusBadRequest
+	switch {
+	case outcome == "done":
 		return &Answer{Status: rsp.StatusCode, Header: rsp.Header, Body: body, Work: work}, nil
-	case "notRun":
-		if rsp.StatusCode == http.StatusForbidden || rsp.StatusCode == http.StatusBadRequest {
-			return nil, &RefusedError{rsp.StatusCode, string(body)}
-		}
+	case refused:
+		return nil, &RefusedError{rsp.StatusCode, string(body)}
+	case outcome == "notRun":
 		return nil, &NotRunError{Work: work, Reason: reason}
 	default:
 		return nil, &UnknownError{Work: work, Reason: reason}
--- a/io/peer/work.go
+++ b/io/peer/work.go
@@ -185,12 +185,21 @@
 		return false
 	}
 	if !pr.Run(time.Now()) {
-		_ = con.send(refuseStep(relay.NotRun, "deadlinePassed"), time.Now().Add(messageTimeout))
+		_ = con.send(refuseStep(lateOutcome(*req), "deadlinePassed"), time.Now().Add(messageTimeout))
 		return false
 	}
 	return true
 }
 
+// lateOutcome is what a refusal of late work proves: at a peer, that the work
+// was not run; at its owner nothing, since an earlier attempt may have run it.
+func lateOutcome(req Request) relay.Outcome {
+	if req.ToOwner {
+		return relay.Unknown
+	}
+	return relay.NotRun
+}
+
 func (msh *Mesh) respond(con *conn, rsp Response) {
 	deadline := time.Now().Add(messageTimeout)
 	if rsp.Outcome != relay.Done {
--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -93,20 +93,21 @@
 }
 
 // boot waits until every list is in force and a peer was asked, so that a stale
-// platform alone is not trusted while there is somebody who knows better.
-func (bas *base) boot(ctx context.Context) error {
+// platform alone is not trusted while there is somebody who knows better. It
+// reports false when the process is to stop before that.
+func (bas *base) boot(ctx context.Context) bool {
 	deadline := time.Now().Add(bootTimeout)
 	tick := time.NewTicker(bootInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return false
 		case now := <-tick.C:
 			if bas.lists.Complete() && (bas.mesh.Heard() || now.After(deadline)) {
 				close(bas.ready)
 				bas.log.Info("ready")
-				return nil
+				return true
 			}
 		}
 	}
@@ -137,8 +138,7 @@
 	bas.sup.Add(admin.New(set, bas.lists, bas.scope, admin.Balancer{Entry: ent}, bas.ready))
 	supCtx, cancel := context.WithCancel(context.Background())
 	done := bas.sup.ServeBackground(supCtx)
-	err = bas.boot(ctx)
-	if err == nil {
+	if bas.boot(ctx) {
 		<-ctx.Done()
 		bas.log.Info("stopping")
 		time.Sleep(lingerTime)
@@ -183,7 +183,7 @@
 	bas.sup.Add(admin.New(set, bas.lists, bas.scope, admin.Agent{Agent: agt}, bas.ready))
 	supCtx, cancel := context.WithCancel(context.Background())
 	done := bas.sup.ServeBackground(supCtx)
-	if err = bas.boot(ctx); err == nil {
+	if bas.boot(ctx) {
 		err = bas.serveAgent(ctx, agt)
 	}
 	agt.Close()
