--- a/io/agent/handler.go
+++ b/io/agent/handler.go
@@ -23,8 +23,8 @@
 // Paths that the agent serves itself.
 const (
 	ownPrefix   = "/.lagoondrum/"
-	SessionPath = ownPrefix + "session" // The session's prefix, then news of the drain.
-	WorkPath    = ownPrefix + "work/"   // The outcome of work by ID; DELETE cancels it.
+	SessionPath = ownPrefix + "session"   // The session's prefix, then news of the drain.
+	OutcomePath = ownPrefix + "outcomes/" // The outcome of work by ID; DELETE cancels it.
 )
 
 const statusUnknown = http.StatusBadGateway
@@ -83,7 +83,7 @@
 	switch {
 	case req.URL.Path == SessionPath:
 		hdl.session(rw, req, flw, cus)
-	case strings.HasPrefix(req.URL.Path, WorkPath):
+	case strings.HasPrefix(req.URL.Path, OutcomePath):
 		hdl.recorded(rw, req, cus)
 	case hdl.isStream(req):
 		hdl.stream(rw, req, cus)
@@ -193,7 +193,7 @@
 
 // recorded tells the outcome of work, or cancels it.
 func (hdl *handler) recorded(rw http.ResponseWriter, req *http.Request, cus customer) {
-	text := strings.TrimPrefix(req.URL.Path, WorkPath)
+	text := strings.TrimPrefix(req.URL.Path, OutcomePath)
 	id, err := hdl.worker.parseID(text, cus.name)
 	if err != nil {
 		writeError(rw, http.StatusBadRequest, errorBody{Error: "badWorkID", Outcome: relay.Unknown.String(), Work: text})
--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -26,7 +26,7 @@
 	maxRetry      = time.Second
 	dialAttempt   = 5 * time.Second
 	defaultWork   = 30 * time.Second
-	outcomePath   = "/.lagoondrum/work/"
+	outcomePath   = "/.lagoondrum/outcomes/"
 	workField     = "Lagoondrum-Work"
 	outcomeField  = "Lagoondrum-Outcome"
 	reasonField   = "Lagoondrum-Reason"
