Charge a pause to the work that waited through it

Ruled out: a time of day in the request (clocks of VMs differ); receive timestamps of the kernel (the QUIC stack does not hand them on).

Change: a gap between the agent's ticks counts as a pause, and is taken off the deadline of requests that arrive within 1 s after it.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -18,6 +18,7 @@
 	"lagoondrum/core/admit"
 	"lagoondrum/core/drain"
 	"lagoondrum/core/frame"
+	"lagoondrum/core/health"
 	"lagoondrum/core/ledger"
 	"lagoondrum/core/lists"
 	"lagoondrum/core/steer"
@@ -55,6 +56,7 @@
 	open    *openCount
 	meter   *meter
 	log     *zap.Logger
+	pause   *health.Pause
 	conn    *conn
 	server  *http3.Server
 	ring    atomic.Pointer[token.Ring]
@@ -73,7 +75,7 @@
 func New(place table.Place, service string, upstream netip.AddrPort, lst *feed.Lists, scope *stats.Scope, log *zap.Logger) (*Agent, error) {
 	agt := &Agent{
 		place: place, service: service, lists: lst, drain: newDrainer(), open: &openCount{},
-		meter: newMeter(scope), log: log, stopped: make(chan struct{}),
+		meter: newMeter(scope), log: log, pause: &health.Pause{}, stopped: make(chan struct{}),
 	}
 	agt.ring.Store(token.NewRing())
 	agt.size.Store(1)
@@ -173,7 +175,7 @@
 func (agt *Agent) newHandler() *handler {
 	return &handler{
 		service: agt.service, lists: agt.lists, worker: agt.worker,
-		drain: agt.drain, meter: agt.meter, open: agt.open,
+		drain: agt.drain, meter: agt.meter, open: agt.open, pause: agt.pause,
 	}
 }
 
@@ -277,6 +279,7 @@
 }
 
 func (agt *Agent) tick(now time.Time, before drain.Phase) drain.Phase {
+	agt.pause.Tick(time.Now()) // The ticker's own time may be from before a pause.
 	agt.worker.tick(now)
 	agt.refreshSelf(now)
 	phase := agt.drain.advance(now, agt.underWay())
--- a/io/agent/handler.go
+++ b/io/agent/handler.go
@@ -13,6 +13,7 @@
 	"github.com/quic-go/quic-go"
 
 	"lagoondrum/core/drain"
+	"lagoondrum/core/health"
 	"lagoondrum/core/ledger"
 	"lagoondrum/core/lists"
 	"lagoondrum/core/relay"
@@ -62,6 +63,7 @@
 	drain   *drainer
 	meter   *meter
 	open    *openCount
+	pause   *health.Pause
 }
 
 // customer is a caller that its plan allows to use the service.
@@ -220,6 +222,7 @@
 // work has one piece of work run and answers with its outcome.
 func (hdl *handler) work(rw http.ResponseWriter, req *http.Request, flw *flow, cus customer) {
 	arrived := time.Now()
+	waited := hdl.pause.Charge(arrived)
 	text, id, err := hdl.idOf(req, flw, cus)
 	if err != nil {
 		writeError(rw, http.StatusBadRequest, errorBody{Error: "badWorkID", Outcome: relay.NotRun.String(), Work: text})
@@ -233,7 +236,7 @@
 	rsp := hdl.worker.do(req.Context(), id, peer.Request{
 		WorkID: text, Customer: cus.name, Plan: cus.plan, Service: hdl.service,
 		Method: req.Method, Path: req.URL.RequestURI(), Header: req.Header, Body: body,
-		Deadline: deadlineOf(req.Header, arrived),
+		Deadline: deadlineOf(req.Header, arrived).Add(-waited),
 	})
 	hdl.meter.work(cus.plan, rsp.Outcome, rsp.Reason, time.Since(arrived))
 	writeResponse(rw, text, rsp)
--- a/io/fault/planned_test.go
+++ b/io/fault/planned_test.go
@@ -271,3 +271,33 @@
 		}
 	}
 }
+
+// TestWakeAfterDeadline stops an agent, has callers send work to it meanwhile,
+// and wakes it when their deadlines are past. What it finds in its socket must
+// not run any more.
+func TestWakeAfterDeadline(t *testing.T) {
+	reg := newRegion(t, testPorts+4000)
+	clients := reg.connected(t, "wake")
+	reg.signal(agentA, syscall.SIGSTOP)
+	orders := make([]*order, len(clients))
+	var wait sync.WaitGroup
+	for num, cln := range clients {
+		orders[num] = &order{name: fmt.Sprintf("wake-order-%d", num), limit: shortWork}
+		wait.Go(func() { reg.do(cln, "till-gold", orders[num]) })
+	}
+	wait.Wait()
+	time.Sleep(shortWork / 2)
+	reg.signal(agentA, syscall.SIGCONT)
+	time.Sleep(2 * shortWork)
+	late := 0
+	for _, ord := range orders {
+		reg.assertOnce(t, ord)
+		if ord.err != nil {
+			late++
+			assert.Equal(t, reg.runs(ord.name), 0, "%s ran after its deadline: %v", ord.name, ord.err)
+		}
+	}
+	assert.Assert(t, late > 0, "no work was sent to the stopped agent")
+}
+
+const shortWork = 2 * time.Second
