Tell flows and work by customer at each agent

Cause: the administration API could not answer what a customer has open and what became of its work.

Change: agents count by customer; /v1/usage tells it to the customer's team. The test of the metrics waits for the first report: run alone it asked too early (a fault of the test, seen once; the new one looks for the same series).

--- a/io/admin/admin.go
+++ b/io/admin/admin.go
@@ -93,6 +93,7 @@
 		"/v1/plans":     adm.plans,
 		"/v1/customers": adm.customers,
 		"/v1/upstreams": adm.upstreams,
+		"/v1/usage":     adm.usage,
 		"/v1/explain":   adm.explain,
 		"/metrics":      adm.scope.ServeHTTP,
 	} {
--- a/io/admin/state.go
+++ b/io/admin/state.go
@@ -10,6 +10,7 @@
 
 	"lagoondrum/core/frame"
 	"lagoondrum/core/lists"
+	"lagoondrum/core/relay"
 	"lagoondrum/core/table"
 	"lagoondrum/core/text"
 	"lagoondrum/io/feed"
@@ -61,6 +62,14 @@
 	Certificate string `json:"certificate"`
 }
 
+type usageState struct {
+	Customer string `json:"customer"`
+	Flows    int    `json:"flows"`
+	Done     int    `json:"done"`
+	NotRun   int    `json:"notRun"`
+	Unknown  int    `json:"unknown"`
+}
+
 type explainBody struct {
 	Customer   string   `json:"customer"`
 	Plan       string   `json:"plan"`
@@ -130,6 +139,27 @@
 	httpx.OkJson(rw, map[string][]customerState{"customers": all})
 }
 
+// usage tells flows and work by customer at an agent, for the team's customers.
+func (adm *Admin) usage(rw http.ResponseWriter, req *http.Request) {
+	all := []usageState{}
+	prc, ok := adm.process.(Agent)
+	cus := adm.lists.Customers()
+	if ok && cus != nil {
+		visible := make(map[string]bool)
+		for _, cu := range cus.All() {
+			visible[cu.Name()] = sees(req, cu)
+		}
+		for _, usg := range prc.Agent.Usages() {
+			if visible[usg.Customer()] {
+				all = append(all, usageState{
+					usg.Customer(), usg.Flows(), usg.Work(relay.Done), usg.Work(relay.NotRun), usg.Work(relay.Unknown),
+				})
+			}
+		}
+	}
+	httpx.OkJson(rw, map[string][]usageState{"usage": all})
+}
+
 func (adm *Admin) upstreams(rw http.ResponseWriter, _ *http.Request) {
 	all := []upstreamState{}
 	vms := adm.lists.VMs()
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -57,6 +57,7 @@
 	meter   *meter
 	log     *zap.Logger
 	pause   *health.Pause
+	usages  *usages
 	conn    *conn
 	server  *http3.Server
 	ring    atomic.Pointer[token.Ring]
@@ -75,7 +76,7 @@
 func New(place table.Place, service string, upstream netip.AddrPort, lst *feed.Lists, scope *stats.Scope, log *zap.Logger) (*Agent, error) {
 	agt := &Agent{
 		place: place, service: service, lists: lst, drain: newDrainer(), open: &openCount{},
-		meter: newMeter(scope), log: log, pause: &health.Pause{}, stopped: make(chan struct{}),
+		meter: newMeter(scope), log: log, pause: &health.Pause{}, usages: newUsages(), stopped: make(chan struct{}),
 	}
 	agt.ring.Store(token.NewRing())
 	agt.size.Store(1)
@@ -175,7 +176,7 @@
 func (agt *Agent) newHandler() *handler {
 	return &handler{
 		service: agt.service, lists: agt.lists, worker: agt.worker,
-		drain: agt.drain, meter: agt.meter, open: agt.open, pause: agt.pause,
+		drain: agt.drain, meter: agt.meter, open: agt.open, pause: agt.pause, usages: agt.usages,
 	}
 }
 
@@ -241,6 +242,9 @@
 // Slots returns how many pieces of work run and wait, and the slots in use.
 func (agt *Agent) Slots() (running, queued, limit int) { return agt.worker.slots.use() }
 
+// Usages returns flows and work by customer since the start.
+func (agt *Agent) Usages() []Usage { return agt.usages.list() }
+
 // Close closes the socket.
 func (agt *Agent) Close() { _ = agt.conn.Close() }
 
--- a/io/agent/handler.go
+++ b/io/agent/handler.go
@@ -45,7 +45,8 @@
 
 // flow is what the agent keeps for one connection of a caller.
 type flow struct {
-	conn *quic.Conn
+	conn    *quic.Conn
+	counted sync.Once
 
 	mu      sync.Mutex
 	given   *ledger.Session // Work that the caller numbers.
@@ -64,6 +65,7 @@
 	meter   *meter
 	open    *openCount
 	pause   *health.Pause
+	usages  *usages
 }
 
 // customer is a caller that its plan allows to use the service.
@@ -82,6 +84,7 @@
 		hdl.refuse(rw, req, reason)
 		return
 	}
+	hdl.usages.noteFlow(flw, cus.name)
 	switch {
 	case req.URL.Path == SessionPath:
 		hdl.session(rw, req, flw, cus)
@@ -238,6 +241,7 @@
 		Method: req.Method, Path: req.URL.RequestURI(), Header: req.Header, Body: body,
 		Deadline: deadlineOf(req.Header, arrived).Add(-waited),
 	})
+	hdl.usages.noteWork(cus.name, rsp.Outcome)
 	hdl.meter.work(cus.plan, rsp.Outcome, rsp.Reason, time.Since(arrived))
 	writeResponse(rw, text, rsp)
 }
--- a/io/fault/planned_test.go
+++ b/io/fault/planned_test.go
@@ -202,6 +202,8 @@
 }
 
 func administer(t *testing.T, reg *region) {
+	t.Run("metrics", func(t *testing.T) { assertMetrics(t, reg.scn.Balancers()[0]) })
+	t.Run("usage at the agents", func(t *testing.T) { assertUsage(t, reg) })
 	hst := reg.scn.Balancers()[0]
 	for name, tc := range map[string]struct {
 		method, path, body string
@@ -220,7 +222,6 @@
 		"check good list":  {"POST", "/v1/check/plans", reg.scn.Lists()["plans"], 200, `"valid":true`},
 		"check no list":    {"POST", "/v1/check/other", "x", 200, "unknown list other"},
 		"no such path":     {"GET", "/v1/other", "", 404, `"error":"notFound"`},
-		"metrics":          {"GET", "/metrics", "", 200, "lagoondrum_listRevision"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			url := fmt.Sprintf("http://127.0.0.1:%d%s", hst.Admin, tc.path)
@@ -240,6 +241,41 @@
 	}
 }
 
+// assertMetrics checks that a process shows its metrics once the first report of
+// them is made.
+func assertMetrics(t *testing.T, hst stand.Host) {
+	t.Helper()
+	raw := []byte(nil)
+	for deadline := time.Now().Add(readyLimit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		rsp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/metrics", hst.Admin))
+		assert.NilError(t, err)
+		raw, err = io.ReadAll(rsp.Body)
+		assert.NilError(t, err)
+		_ = rsp.Body.Close()
+		if strings.Contains(string(raw), "lagoondrum_listRevision") {
+			return
+		}
+	}
+	t.Fatalf("no listRevision among %s", raw)
+}
+
+// assertUsage checks that the agents count a customer's order and flow.
+func assertUsage(t *testing.T, reg *region) {
+	ord := &order{name: "used"}
+	reg.do(reg.client("engraver"), "engraver", ord)
+	assert.NilError(t, ord.err)
+	seen := ""
+	for _, hst := range reg.scn.Agents() {
+		rsp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/v1/usage", hst.Admin))
+		assert.NilError(t, err)
+		raw, err := io.ReadAll(rsp.Body)
+		assert.NilError(t, err)
+		_ = rsp.Body.Close()
+		seen += string(raw)
+	}
+	assert.Assert(t, strings.Contains(seen, `{"customer":"engraver","flows":1,"done":1,"notRun":0,"unknown":0}`), seen)
+}
+
 // TestTwoFaultsTogether strikes the rows that cost most in pairs.
 func TestTwoFaultsTogether(t *testing.T) {
 	reg := newRegion(t, testPorts+3000)
