Give a dead agent's handshake up after 1.5 s

The first attempt waited 5 s for the dead agent, and a third of the packets of the next one went to the dead balancer.

Ruled out: the choice of agents, which had found the dead one silent by then.

Change: an attempt to connect is given up after 1.5 s in place of 5 s.

--- a/io/caller/client.go
+++ b/io/caller/client.go
@@ -24,7 +24,7 @@
 const (
 	minRetry      = 20 * time.Millisecond
 	maxRetry      = time.Second
-	dialAttempt   = 5 * time.Second
+	dialAttempt   = 1500 * time.Millisecond // A handshake with an agent that died is given up after this long.
 	defaultWork   = 30 * time.Second
 	outcomePath   = "/.lagoondrum/outcomes/"
 	workField     = "Lagoondrum-Work"
