--- /dev/null
+++ b/core/track/seek.go
@@ -0,0 +1,178 @@
+package track
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"lagoondrum/core/fleet"
+	"lagoondrum/core/flow"
+	"lagoondrum/core/hop"
+	"lagoondrum/core/place"
+)
+
+// FromAgent handles what an agent tells about a flow. The packet behind the
+// header, if any, is one that the agent did not deliver.
+func (tbl *Table) FromAgent(hdr hop.Header, raw []byte, from [4]byte, now time.Time) {
+	key := hdr.Key()
+	tbl.judge(hdr, from, now)
+	ent := tbl.find(key)
+	if ent == nil {
+		return
+	}
+	switch hdr.Kind() {
+	case hop.Opened:
+		tbl.opened(key, ent, hdr, from)
+	case hop.Refused:
+		tbl.refused(key, ent, hdr, from, now)
+	case hop.Held:
+		tbl.held(key, ent, hdr, from)
+	case hop.Absent:
+		tbl.absent(key, ent, raw, from, now)
+	case hop.Gone:
+		tbl.gone(key, ent, from, now)
+	}
+}
+
+// judge takes what became of an opening as evidence on the agent's upstream.
+func (tbl *Table) judge(hdr hop.Header, from [4]byte, now time.Time) {
+	agt := tbl.fleet.Agent(from)
+	if agt == nil {
+		return
+	}
+	switch {
+	case hdr.Kind() == hop.Opened:
+		agt.NoteTaken()
+	case hdr.Kind() == hop.Refused && hdr.Reason() != hop.Leaving:
+		agt.NoteMiss(now)
+	}
+}
+
+// seek asks the agents who holds a flow. The packet goes along: the agent that
+// holds the flow delivers it.
+func (tbl *Table) seek(key flow.Key, ent *entry, raw []byte, cse Cause, now time.Time) {
+	ent.phase = seeking
+	ent.holders = nil
+	ent.denied = nil
+	ent.queue = nil
+	ent.waves = 0
+	ent.giveUpAt = now.Add(seekTime)
+	ent.enqueue(raw)
+	tbl.pending[key] = ent
+	tbl.notice(key, cse, [4]byte{})
+	tbl.nextWave(key, ent, now)
+}
+
+// nextWave asks those agents that have not denied the flow yet.
+func (tbl *Table) nextWave(key flow.Key, ent *entry, now time.Time) {
+	agts := tbl.candidates(key, ent)
+	if tbl.concluded(key, ent, agts, now) {
+		return
+	}
+	if !now.Before(ent.giveUpAt) {
+		tbl.notice(key, NotFound, [4]byte{})
+		tbl.remove(key)
+		return
+	}
+	ent.deadline = now.Add(seekWave)
+	if ent.waves == 0 && len(agts) > firstWave {
+		agts = agts[:firstWave]
+	}
+	ent.waves++
+	for _, agt := range agts {
+		if !slices.Contains(ent.denied, agt.IP()) {
+			tbl.send(agt.IP(), hop.Seek, agt.Server().Service(), key, ent.queue[0])
+		}
+	}
+}
+
+// candidates returns every agent that may hold a flow, the likeliest first.
+func (tbl *Table) candidates(key flow.Key, ent *entry) []*fleet.Agent {
+	var agts []*fleet.Agent
+	names := tbl.board.Holders(key.Service())
+	if ent.service != "" && !slices.Contains(names, ent.service) {
+		names = append(names, ent.service)
+	}
+	for _, name := range names {
+		agts = append(agts, tbl.fleet.Service(name)...)
+	}
+	if len(agts) > firstWave {
+		hash := place.Hash(key)
+		sort.Slice(agts, func(i, j int) bool { return place.Rank(hash, agts[i].IP()) > place.Rank(hash, agts[j].IP()) })
+	}
+	return agts
+}
+
+// concluded resets a flow that every agent which could hold it denies. Agents
+// that are dead need not be heard; one that lives and has not answered must.
+func (tbl *Table) concluded(key flow.Key, ent *entry, agts []*fleet.Agent, now time.Time) bool {
+	if len(ent.denied) == 0 {
+		return false
+	}
+	for _, agt := range agts {
+		if !slices.Contains(ent.denied, agt.IP()) && !agt.Dead(now) {
+			return false
+		}
+	}
+	tbl.forgetWith(key, ent, AllDenied, now)
+	return true
+}
+
+// forgetWith resets a flow and remembers for a while that it is gone.
+func (tbl *Table) forgetWith(key flow.Key, ent *entry, cse Cause, now time.Time) {
+	delete(tbl.pending, key)
+	ent.phase = gone
+	ent.holders, ent.queue, ent.opener = nil, nil, nil
+	ent.giveUpAt = now.Add(goneTime)
+	tbl.out = append(tbl.out, Action{kind: Reset, cause: cse, key: key, seq: ent.ack})
+}
+
+// held handles an agent's word that it holds a flow that is sought.
+func (tbl *Table) held(key flow.Key, ent *entry, hdr hop.Header, from [4]byte) {
+	if ent.phase != seeking {
+		return
+	}
+	delete(tbl.pending, key)
+	ent.phase = open
+	ent.holders = append(ent.holders[:0], holder{ip: from, seq: hdr.Seq()})
+	tbl.notice(key, Found, from)
+	for i, raw := range ent.queue {
+		if i > 0 { // The first was delivered with the question.
+			tbl.send(from, hop.Data, ent.service, key, raw)
+		}
+	}
+	ent.queue = nil
+}
+
+// absent handles an agent's word that it does not hold a flow.
+func (tbl *Table) absent(key flow.Key, ent *entry, raw []byte, from [4]byte, now time.Time) {
+	switch ent.phase {
+	case open:
+		if ent.holders[0].ip != from || len(raw) == 0 {
+			return
+		}
+		tbl.seek(key, ent, raw, HintWrong, now)
+		ent.denied = append(ent.denied, from)
+	case seeking:
+		if !slices.Contains(ent.denied, from) {
+			ent.denied = append(ent.denied, from)
+		}
+		if len(raw) > 0 {
+			ent.enqueue(raw)
+		}
+		tbl.concluded(key, ent, tbl.candidates(key, ent), now)
+	}
+}
+
+// gone handles an agent's word that a flow of its upstream is over. The agent
+// resets the flow itself.
+func (tbl *Table) gone(key flow.Key, ent *entry, from [4]byte, now time.Time) {
+	if ent.phase == open && ent.holders[0].ip != from || ent.phase == opening {
+		return
+	}
+	delete(tbl.pending, key)
+	ent.phase = gone
+	ent.holders, ent.queue, ent.opener = nil, nil, nil
+	ent.giveUpAt = now.Add(goneTime)
+	tbl.notice(key, FlowGone, from)
+}
--- /dev/null
+++ b/core/track/table.go
@@ -0,0 +1,248 @@
+// Package track decides at a balancer: to which agent the packets of each flow
+// go. What it remembers of a flow is only a hint. A balancer without a hint asks
+// the agents, and a flow is reset only on proof that it is gone.
+package track
+
+import (
+	"bytes"
+	"time"
+
+	"lagoondrum/core/fleet"
+	"lagoondrum/core/flow"
+	"lagoondrum/core/hop"
+	"lagoondrum/core/intent"
+)
+
+// Limits of the table.
+const (
+	openTimeout = 60 * time.Millisecond  // For an agent to tell what became of an opening: the agent's own limit and the way.
+	seekWave    = 100 * time.Millisecond // Between two rounds of asking the agents about a flow.
+	seekTime    = 2500 * time.Millisecond
+	goneTime    = 5 * time.Second  // A flow that ended is remembered for late packets.
+	turnEvery   = 20 * time.Second // Hints without packets for one to two of these are forgotten.
+	maxHints    = 200_000          // Hints of one turn: 30 MB at most.
+	maxQueue    = 24               // Packets that wait while a flow is sought; a client has 16 under way.
+	maxSeeking  = 4096             // Flows that are sought at once.
+	firstWave   = 16               // Agents asked first; all of a small service.
+)
+
+type phase uint8
+
+const (
+	opening phase = iota + 1
+	open
+	seeking
+	gone
+)
+
+// holder is an agent that says that it holds a flow.
+type holder struct {
+	ip  [4]byte
+	seq uint32
+}
+
+// entry is what the balancer remembers of one flow.
+type entry struct {
+	phase    phase
+	silent   bool // An agent left the opening unanswered, or said so of its upstream.
+	hash     uint64
+	service  string
+	first    uint32 // The client's first sequence number.
+	ack      uint32
+	opener   []byte
+	tried    [][4]byte
+	holders  []holder
+	denied   [][4]byte
+	queue    [][]byte
+	waves    int
+	deadline time.Time // Of the step under way.
+	giveUpAt time.Time
+}
+
+// Table is what one balancer remembers of flows.
+type Table struct {
+	zone    string
+	board   *intent.Board
+	fleet   *fleet.Fleet
+	recent  map[flow.Key]*entry
+	older   map[flow.Key]*entry
+	pending map[flow.Key]*entry // Opening or seeking.
+	turnAt  time.Time
+	out     []Action
+}
+
+// New returns an empty table of a balancer in an availability zone.
+func New(zone string, brd *intent.Board, flt *fleet.Fleet) *Table {
+	return &Table{
+		zone:    zone,
+		board:   brd,
+		fleet:   flt,
+		recent:  make(map[flow.Key]*entry),
+		older:   make(map[flow.Key]*entry),
+		pending: make(map[flow.Key]*entry),
+	}
+}
+
+// Take returns the actions since the last call. They are valid until the next
+// event.
+func (tbl *Table) Take() []Action {
+	acts := tbl.out
+	tbl.out = tbl.out[:0]
+	return acts
+}
+
+// Hints returns how many flows are remembered.
+func (tbl *Table) Hints() int { return len(tbl.recent) + len(tbl.older) }
+
+// Busy reports whether a tick is due soon: answers are awaited.
+func (tbl *Table) Busy() bool { return len(tbl.pending) > 0 }
+
+func (tbl *Table) find(key flow.Key) *entry {
+	if ent := tbl.recent[key]; ent != nil {
+		return ent
+	}
+	ent := tbl.older[key]
+	if ent != nil {
+		delete(tbl.older, key)
+		tbl.recent[key] = ent
+	}
+	return ent
+}
+
+func (tbl *Table) put(key flow.Key, ent *entry) {
+	delete(tbl.older, key)
+	if len(tbl.recent) < maxHints {
+		tbl.recent[key] = ent
+	}
+}
+
+func (tbl *Table) remove(key flow.Key) {
+	delete(tbl.recent, key)
+	delete(tbl.older, key)
+	delete(tbl.pending, key)
+}
+
+// FromClient handles a packet of a client.
+func (tbl *Table) FromClient(pkt flow.Packet, raw []byte, now time.Time) {
+	if tbl.board.State() == nil {
+		return
+	}
+	key := pkt.FromClient()
+	if pkt.Opening() {
+		tbl.opener(key, pkt, raw, now)
+		return
+	}
+	ent := tbl.find(key)
+	if ent == nil {
+		tbl.unknown(key, pkt, raw, now)
+		return
+	}
+	if pkt.Has(flow.Ack) {
+		ent.ack = pkt.Ack()
+	}
+	switch ent.phase {
+	case open:
+		tbl.send(ent.holderOf(pkt), hop.Data, ent.service, key, raw)
+	case opening:
+		tbl.settle(key, ent, pkt, raw, now)
+	case seeking:
+		ent.enqueue(raw)
+	case gone:
+		if now.Before(ent.giveUpAt) {
+			tbl.reset(key, pkt, FlowGone)
+			return
+		}
+		tbl.remove(key)
+		tbl.unknown(key, pkt, raw, now)
+	}
+}
+
+// holderOf returns the agent that a packet goes to. When several upstreams
+// answered the opening, the client's acknowledgement tells which one it chose.
+func (ent *entry) holderOf(pkt flow.Packet) [4]byte {
+	if len(ent.holders) > 1 && pkt.Has(flow.Ack) {
+		for i, hld := range ent.holders {
+			if flow.Fits(pkt.Ack(), hld.seq) {
+				ent.holders[0], ent.holders[i] = ent.holders[i], ent.holders[0]
+				break
+			}
+		}
+		ent.holders = ent.holders[:1]
+	}
+	return ent.holders[0].ip
+}
+
+// settle handles a packet of a flow whose opening is under way here: an upstream
+// has answered the client before its agent told this balancer.
+func (tbl *Table) settle(key flow.Key, ent *entry, pkt flow.Packet, raw []byte, now time.Time) {
+	if len(ent.holders) > 0 {
+		ent.phase = open
+		delete(tbl.pending, key)
+		tbl.send(ent.holderOf(pkt), hop.Data, ent.service, key, raw)
+		return
+	}
+	tbl.seek(key, ent, raw, NoHint, now)
+}
+
+// unknown handles a packet of a flow that is not remembered.
+func (tbl *Table) unknown(key flow.Key, pkt flow.Packet, raw []byte, now time.Time) {
+	if pkt.Has(flow.Rst) || len(tbl.pending) >= maxSeeking {
+		return
+	}
+	if len(tbl.board.Holders(pkt.To())) == 0 {
+		tbl.reset(key, pkt, NoRoute)
+		return
+	}
+	ent := &entry{ack: pkt.Ack()}
+	tbl.put(key, ent)
+	tbl.seek(key, ent, raw, NoHint, now)
+}
+
+func (ent *entry) enqueue(raw []byte) {
+	if len(ent.queue) < maxQueue {
+		ent.queue = append(ent.queue, bytes.Clone(raw))
+	}
+}
+
+func (tbl *Table) send(ip [4]byte, knd hop.Kind, service string, key flow.Key, raw []byte) {
+	id := uint64(0)
+	if agt := tbl.fleet.Agent(ip); agt != nil {
+		id = agt.ServiceID()
+	} else {
+		id = hop.ServiceID(service)
+	}
+	tbl.out = append(tbl.out, Action{kind: Send, agent: ip, key: key, header: hop.New(knd, id, key), packet: raw})
+}
+
+func (tbl *Table) reset(key flow.Key, pkt flow.Packet, cse Cause) {
+	if pkt.Has(flow.Rst) {
+		return
+	}
+	seq := uint32(0)
+	if !pkt.Opening() {
+		seq = pkt.Ack()
+	}
+	tbl.out = append(tbl.out, Action{kind: Reset, cause: cse, key: key, seq: seq})
+}
+
+func (tbl *Table) notice(key flow.Key, cse Cause, agent [4]byte) {
+	tbl.out = append(tbl.out, Action{kind: Notice, cause: cse, key: key, agent: agent})
+}
+
+// Tick handles the passing of time.
+func (tbl *Table) Tick(now time.Time) {
+	for key, ent := range tbl.pending {
+		if now.Before(ent.deadline) {
+			continue
+		}
+		if ent.phase == opening {
+			tbl.unanswered(key, ent, now)
+		} else {
+			tbl.nextWave(key, ent, now)
+		}
+	}
+	if !now.Before(tbl.turnAt) {
+		tbl.turnAt = now.Add(turnEvery)
+		tbl.older, tbl.recent = tbl.recent, make(map[flow.Key]*entry)
+	}
+}
--- /dev/null
+++ b/io/carry/agent.go
@@ -0,0 +1,311 @@
+package carry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+
+	"lagoondrum/core/fleet"
+	"lagoondrum/core/flow"
+	"lagoondrum/core/hop"
+	"lagoondrum/core/mirror"
+	"lagoondrum/core/owner"
+	"lagoondrum/io/conf"
+	"lagoondrum/io/mmsg"
+	"lagoondrum/platform"
+)
+
+// Timing and limits of an agent.
+const (
+	probeTimeout = 200 * time.Millisecond // For the upstream's VM, which is the agent's own, to take a connection.
+	defaultIdle  = 15 * time.Second       // Until the desired state tells how long an idle flow is kept.
+)
+
+// agent is the process beside an upstream.
+type agent struct {
+	*base
+	outbound *mmsg.Conn
+	upstream netip.AddrPort
+
+	mu        sync.Mutex // Guards everything below, and post.
+	toApp     *post      // Over outbound.
+	book      *owner.Book
+	fleet     *fleet.Fleet
+	meter     *agentMeter
+	balancers map[netip.AddrPort]time.Time // When each was heard last.
+	wake      chan struct{}
+}
+
+// RunAgent runs an agent until ctx ends.
+func RunAgent(ctx context.Context, set *conf.Settings, log *zap.Logger) error {
+	bas, err := newBase(set, log, false)
+	if err != nil {
+		return err
+	}
+	defer bas.close()
+	con, err := mmsg.Listen(set.PacketOutbound(), false)
+	if err != nil {
+		return err
+	}
+	defer con.Close()
+	now := time.Now()
+	complete := set.FlowDeadline(now)
+	if set.FirstStart() {
+		complete = now
+	}
+	agt := &agent{
+		base:      bas,
+		outbound:  con,
+		upstream:  set.Upstream(),
+		toApp:     newPost(con),
+		book:      owner.New(hop.ServiceID(set.Service()), defaultIdle, complete),
+		fleet:     fleet.New(),
+		meter:     newAgentMeter(bas.scope),
+		balancers: make(map[netip.AddrPort]time.Time),
+		wake:      make(chan struct{}, 1),
+	}
+	bas.rep.OnChange(agt.changed)
+	if err := bas.serveHTTP(); err != nil {
+		return err
+	}
+	bas.sup.Add(bas.rep)
+	bas.sup.Add(&upstreamReader{agt})
+	bas.sup.Add(&balancerReader{agt})
+	bas.sup.Add(&ticker{agt.tick, agt.wake})
+	supCtx, cancel := context.WithCancel(context.Background())
+	done := bas.sup.ServeBackground(supCtx)
+	bas.ready.Store(true)
+	log.Info("started", zap.String("role", "agent"), zap.String("service", set.Service()), zap.Stringer("upstream", agt.upstream),
+		zap.Uint64("incarnation", bas.incarnation), zap.Bool("firstStart", set.FirstStart()))
+	<-ctx.Done()
+	agt.leave()
+	cancel()
+	_ = agt.outbound.Close()
+	_ = agt.peers.Close()
+	<-done
+	log.Info("stopped")
+	return nil
+}
+
+// leave tells the balancers that the agent ends. It does not linger: its
+// upstream has ended before it, or the agent is about to be started again, and
+// then every moment counts for the flows that the upstream holds.
+func (agt *agent) leave() {
+	now := time.Now()
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	agt.log.Info("leaving", zap.Int("flows", agt.book.Flows()))
+	for blc := range agt.balancers {
+		agt.post.framed(agt.beatOut(now).WithLeaving(true), nil, blc)
+	}
+	agt.post.flush()
+	agt.toApp.flush()
+}
+
+// changed takes new items of the platform into use.
+func (agt *agent) changed(items []mirror.Item, now time.Time) {
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	for _, itm := range items {
+		knd, id := platform.KindOf(itm.Key())
+		if knd != platform.ServerItem {
+			continue
+		}
+		if itm.Deleted() {
+			agt.fleet.Unlist(id, now)
+			continue
+		}
+		if lst, err := platform.ParseServer(id, itm.Value()); err == nil {
+			agt.fleet.List(fleet.NewServer(lst, now), now)
+		} else {
+			agt.log.Warn("entry of an upstream cannot be used", zap.String("id", id), zap.Uint64("revision", itm.Revision()), zap.Error(err))
+		}
+	}
+	agt.judgeOwn()
+}
+
+// judgeOwn takes what the platform lists of the own upstream.
+func (agt *agent) judgeOwn() {
+	own := agt.fleet.Agent(agt.self.Addr().As4())
+	if own == nil {
+		return
+	}
+	srv := own.Server()
+	leaving := srv.Draining()
+	if leaving != agt.book.Leaving() || hop.ServiceID(srv.Service()) != agt.book.Service() {
+		agt.log.Info("own upstream", zap.String("id", srv.ID()), zap.String("service", srv.Service()), zap.Bool("draining", leaving))
+	}
+	agt.book.SetLeaving(leaving)
+}
+
+// upstreamReader reads packets that the upstream sends.
+type upstreamReader struct{ agt *agent }
+
+// Serve runs until the socket is closed.
+func (rdr *upstreamReader) Serve(context.Context) error {
+	agt := rdr.agt
+	box := mmsg.NewInbox(0)
+	for {
+		count, err := agt.outbound.Read(box)
+		if err != nil {
+			return suture.ErrDoNotRestart
+		}
+		agt.fromUpstream(box, count, time.Now())
+	}
+}
+
+func (agt *agent) fromUpstream(box *mmsg.Inbox, count int, now time.Time) {
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	for i := range count {
+		raw := box.Data(i)
+		pkt, ok := platform.ParsePacket(raw)
+		if !ok {
+			agt.meter.malformed.Inc(1)
+			continue
+		}
+		if pkt.Has(flow.Bounced) {
+			platform.ClearBounced(raw)
+		}
+		agt.book.FromUpstream(pkt, raw, now)
+		agt.perform(now)
+	}
+	agt.flush()
+}
+
+// balancerReader reads datagrams of balancers.
+type balancerReader struct{ agt *agent }
+
+// Serve runs until the socket is closed.
+func (rdr *balancerReader) Serve(context.Context) error {
+	agt := rdr.agt
+	box := mmsg.NewInbox(0)
+	for {
+		count, err := agt.peers.Read(box)
+		if err != nil {
+			return suture.ErrDoNotRestart
+		}
+		agt.fromBalancers(box, count, time.Now())
+	}
+}
+
+func (agt *agent) fromBalancers(box *mmsg.Inbox, count int, now time.Time) {
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	for i := range count {
+		hdr, ok := hop.Parse(box.Data(i))
+		if !ok {
+			agt.meter.malformed.Inc(1)
+			continue
+		}
+		agt.fromBalancer(hdr, box.Data(i)[hop.HeaderBytes:], box.Source(i), now)
+	}
+	agt.flush()
+}
+
+func (agt *agent) fromBalancer(hdr hop.Header, tail []byte, from netip.AddrPort, now time.Time) {
+	if hdr.Kind() == hop.Beat {
+		agt.balancers[from] = now
+		agt.heardBeat(hdr, from, now)
+		agt.post.framed(agt.beatOut(now), nil, from)
+		return
+	}
+	pkt, ok := platform.ParsePacket(tail)
+	if !ok {
+		agt.meter.malformed.Inc(1)
+		return
+	}
+	agt.book.FromBalancer(hdr, pkt, tail, flow.EndOf(from), now)
+	agt.perform(now)
+}
+
+// beatOut returns the header of a heartbeat with what the agent tells of its
+// upstream.
+func (agt *agent) beatOut(now time.Time) hop.Header {
+	hdr := agt.beat(agt.book.Service(), now).WithLoad(agt.book.Load(now))
+	if agt.book.Leaving() {
+		hdr = hdr.WithLeaving(false)
+	}
+	if agt.book.Down() {
+		hdr = hdr.WithDown()
+	}
+	return hdr
+}
+
+// perform does what the book decided.
+func (agt *agent) perform(now time.Time) {
+	for _, act := range agt.book.Take() {
+		switch act.Kind() {
+		case owner.Deliver:
+			agt.toApp.packet(act.Packet(), agt.upstream)
+		case owner.ToClient:
+			agt.toApp.packet(act.Packet(), agt.clientAddr(act.Key()))
+		case owner.Tell:
+			agt.post.framed(act.Header(), act.Packet(), addrOfEnd(act.Peer()))
+		case owner.Reset:
+			agt.meter.resets.Inc(1)
+			agt.toApp.packet(platform.NewReset(act.Key(), act.Seq()), agt.clientAddr(act.Key()))
+			agt.log.Info("reset", zap.Stringer("flow", act.Key()), zap.String("cause", "upstreamEndedFlow"), zap.Bool("upstreamDown", agt.book.Down()))
+		case owner.Probe:
+			agt.meter.probes.Inc(1)
+			go agt.probe()
+		}
+	}
+}
+
+func (agt *agent) clientAddr(key flow.Key) netip.AddrPort {
+	return addrOf(key.Client().IP(), agt.set.PacketListen().Port())
+}
+
+// probe finds out whether anything listens at the upstream's address.
+func (agt *agent) probe() {
+	con, err := net.DialTimeout("tcp4", agt.upstream.String(), probeTimeout)
+	var evd owner.Evidence
+	switch {
+	case err == nil:
+		_ = con.Close()
+		evd = owner.Running{}
+	case errors.Is(err, syscall.ECONNREFUSED):
+		evd = owner.NotRunning{}
+	default:
+		evd = owner.Unclear{}
+	}
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	if agt.book.Probed(evd) {
+		agt.log.Info("upstream probed", zap.Bool("down", agt.book.Down()), zap.Int("flows", agt.book.Flows()), zap.Error(err))
+	}
+	agt.flush()
+}
+
+func (agt *agent) flush() {
+	agt.post.flush()
+	agt.toApp.flush()
+	if agt.book.Busy() {
+		select {
+		case agt.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// tick handles the passing of time and returns when the next tick is due.
+func (agt *agent) tick(now time.Time) time.Time {
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	agt.fleet.Tick(now)
+	agt.book.Tick(now)
+	agt.perform(now)
+	agt.flush()
+	if agt.book.Busy() {
+		return now.Add(busyTick)
+	}
+	return now.Add(idleTick)
+}
--- /dev/null
+++ b/io/carry/balancer.go
@@ -0,0 +1,347 @@
+package carry
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+
+	"lagoondrum/core/fleet"
+	"lagoondrum/core/hop"
+	"lagoondrum/core/intent"
+	"lagoondrum/core/mirror"
+	"lagoondrum/core/track"
+	"lagoondrum/io/conf"
+	"lagoondrum/io/mmsg"
+	"lagoondrum/platform"
+)
+
+// Timing and limits of a balancer.
+const (
+	beatsPerSecond = 40                      // Heartbeats that a balancer sends to agents, 4 KB/s both ways; fewer agents get them more often.
+	leaveAtLeast   = 1200 * time.Millisecond // Routers look twice a second and stop sending after two misses.
+	leaveQuiet     = 300 * time.Millisecond  // A leaving balancer ends when nothing came for this long.
+	graceMargin    = time.Second             // A leaving balancer ends this long before it would be killed.
+	introductions  = 8                       // Balancers that a heartbeat names.
+)
+
+// balancer is the process on an entry VM.
+type balancer struct {
+	*base
+	clients *mmsg.Conn
+
+	mu      sync.Mutex // Guards everything below, and post.
+	toUser  *post      // Over clients.
+	board   *intent.Board
+	fleet   *fleet.Fleet
+	table   *track.Table
+	meter   *balancerMeter
+	lastAt  time.Time // When the last packet of a client came.
+	beatAt  time.Time
+	beatsTo [][4]byte // Agents that this round of heartbeats has not reached yet.
+	roundAt time.Time
+	leaving bool
+	wake    chan struct{}
+}
+
+// RunBalancer runs a balancer until ctx ends and the routers have left it.
+func RunBalancer(ctx context.Context, set *conf.Settings, log *zap.Logger) error {
+	bas, err := newBase(set, log, true)
+	if err != nil {
+		return err
+	}
+	defer bas.close()
+	con, err := mmsg.Listen(set.PacketListen(), false)
+	if err != nil {
+		return err
+	}
+	defer con.Close()
+	blc := &balancer{
+		base:    bas,
+		clients: con,
+		toUser:  newPost(con),
+		board:   intent.NewBoard(),
+		fleet:   fleet.New(),
+		meter:   newBalancerMeter(bas.scope),
+		wake:    make(chan struct{}, 1),
+	}
+	blc.table = track.New(set.Place().Zone(), blc.board, blc.fleet)
+	bas.rep.OnChange(blc.changed)
+	if err := bas.serveHTTP(); err != nil {
+		return err
+	}
+	bas.sup.Add(bas.rep)
+	bas.sup.Add(&clientReader{blc})
+	bas.sup.Add(&agentReader{blc})
+	bas.sup.Add(&ticker{blc.tick, blc.wake})
+	supCtx, cancel := context.WithCancel(context.Background())
+	done := bas.sup.ServeBackground(supCtx)
+	log.Info("started", zap.String("role", "balancer"), zap.Uint64("incarnation", bas.incarnation))
+	<-ctx.Done()
+	blc.leave(set.GraceDeadline(time.Now()).Add(-graceMargin))
+	cancel()
+	_ = blc.clients.Close()
+	_ = blc.peers.Close()
+	<-done
+	log.Info("stopped")
+	return nil
+}
+
+// leave forwards until the routers send nothing any more.
+func (blc *balancer) leave(deadline time.Time) {
+	begun := time.Now()
+	blc.ready.Store(false)
+	blc.mu.Lock()
+	blc.leaving = true
+	blc.mu.Unlock()
+	blc.log.Info("leaving", zap.Time("deadline", deadline))
+	look := time.NewTicker(busyTick)
+	defer look.Stop()
+	for now := range look.C {
+		blc.mu.Lock()
+		last := blc.lastAt
+		blc.mu.Unlock()
+		quiet := now.Sub(last) >= leaveQuiet && now.Sub(begun) >= leaveAtLeast
+		if quiet || !now.Before(deadline) {
+			return
+		}
+	}
+}
+
+// changed takes new items of the platform into use.
+func (blc *balancer) changed(items []mirror.Item, now time.Time) {
+	states := make([]*intent.State, 0, 1)
+	for _, itm := range items {
+		if knd, _ := platform.KindOf(itm.Key()); knd == platform.StateItem && !itm.Deleted() {
+			stt, err := platform.ParseState(itm.Value()) // Outside the lock: a large state takes milliseconds.
+			if err != nil {
+				blc.log.Error("desired state cannot be used", zap.Uint64("revision", itm.Revision()), zap.Error(err))
+				continue
+			}
+			states = append(states, stt)
+		}
+	}
+	blc.mu.Lock()
+	defer blc.mu.Unlock()
+	for _, stt := range states {
+		taken := blc.board.Adopt(stt, now)
+		blc.log.Info("desired state", zap.Uint64("version", stt.Version()), zap.Int("routes", stt.Routes()), zap.Bool("inForce", taken))
+	}
+	for _, itm := range items {
+		blc.list(itm, now)
+	}
+	if !blc.leaving && blc.board.State() != nil && !blc.ready.Load() {
+		blc.ready.Store(true)
+		blc.log.Info("ready", zap.Uint64("version", blc.board.State().Version()), zap.Int("upstreams", blc.fleet.Len()))
+	}
+	if len(items) > 0 {
+		blc.roundAt, blc.beatAt = now, now
+		blc.awake()
+	}
+}
+
+func (blc *balancer) list(itm mirror.Item, now time.Time) {
+	knd, id := platform.KindOf(itm.Key())
+	if knd != platform.ServerItem {
+		return
+	}
+	if itm.Deleted() {
+		blc.fleet.Unlist(id, now)
+		blc.log.Info("upstream unlisted", zap.String("id", id), zap.Uint64("revision", itm.Revision()))
+		return
+	}
+	lst, err := platform.ParseServer(id, itm.Value())
+	if err != nil {
+		blc.log.Warn("entry of an upstream cannot be used", zap.String("id", id), zap.Uint64("revision", itm.Revision()), zap.Error(err))
+		return
+	}
+	blc.fleet.List(fleet.NewServer(lst, now), now)
+	blc.log.Info("upstream listed", zap.String("id", id), zap.String("service", lst.Service), zap.Stringer("vm", netip.AddrFrom4(lst.Address)),
+		zap.Bool("draining", lst.Draining), zap.Duration("cold", lst.Cold), zap.Uint64("revision", itm.Revision()))
+}
+
+func (blc *balancer) awake() {
+	select {
+	case blc.wake <- struct{}{}:
+	default:
+	}
+}
+
+// clientReader reads packets of clients.
+type clientReader struct{ blc *balancer }
+
+// Serve runs until the socket is closed.
+func (rdr *clientReader) Serve(context.Context) error {
+	blc := rdr.blc
+	box := mmsg.NewInbox(0)
+	for {
+		count, err := blc.clients.Read(box)
+		if err != nil {
+			return suture.ErrDoNotRestart
+		}
+		blc.fromClients(box, count, time.Now())
+	}
+}
+
+func (blc *balancer) fromClients(box *mmsg.Inbox, count int, now time.Time) {
+	blc.mu.Lock()
+	defer blc.mu.Unlock()
+	blc.lastAt = now
+	for i := range count {
+		pkt, ok := platform.ParsePacket(box.Data(i))
+		if !ok {
+			blc.meter.malformed.Inc(1)
+			continue
+		}
+		blc.table.FromClient(pkt, box.Data(i), now)
+		blc.perform(now)
+	}
+	blc.flush()
+}
+
+// agentReader reads datagrams of agents and other balancers.
+type agentReader struct{ blc *balancer }
+
+// Serve runs until the socket is closed.
+func (rdr *agentReader) Serve(context.Context) error {
+	blc := rdr.blc
+	box := mmsg.NewInbox(0)
+	for {
+		count, err := blc.peers.Read(box)
+		if err != nil {
+			return suture.ErrDoNotRestart
+		}
+		blc.fromPeers(box, count, time.Now())
+	}
+}
+
+func (blc *balancer) fromPeers(box *mmsg.Inbox, count int, now time.Time) {
+	blc.mu.Lock()
+	defer blc.mu.Unlock()
+	for i := range count {
+		hdr, ok := hop.Parse(box.Data(i))
+		if !ok {
+			blc.meter.malformed.Inc(1)
+			continue
+		}
+		from := box.Source(i)
+		blc.noteAgent(hdr, from, now)
+		if hdr.Kind() == hop.Beat {
+			blc.heardBeat(hdr, from, now)
+			continue
+		}
+		blc.table.FromAgent(hdr, box.Data(i)[hop.HeaderBytes:], from.Addr().As4(), now)
+		blc.perform(now)
+	}
+	blc.flush()
+}
+
+func (blc *balancer) noteAgent(hdr hop.Header, from netip.AddrPort, now time.Time) {
+	agt := blc.fleet.Agent(from.Addr().As4())
+	if agt == nil {
+		return
+	}
+	if agt.NoteHeard(hdr, now) {
+		blc.log.Info("agent", zap.Stringer("vm", from.Addr()), zap.Bool("leaving", hdr.Leaving()), zap.Bool("upstreamDown", hdr.Down()))
+	}
+}
+
+// perform does what the table decided.
+func (blc *balancer) perform(now time.Time) {
+	for _, act := range blc.table.Take() {
+		switch act.Kind() {
+		case track.Send:
+			blc.post.framed(act.Header(), act.Packet(), addrOf(act.Agent(), blc.self.Port()))
+		case track.Reset:
+			blc.toUser.packet(platform.NewReset(act.Key(), act.Seq()), addrOf(act.Key().Client().IP(), blc.set.PacketListen().Port()))
+			blc.note(act, "reset", now)
+		case track.Notice:
+			blc.note(act, "flow", now)
+		}
+	}
+}
+
+// note logs a decision with what decided it.
+func (blc *balancer) note(act track.Action, outcome string, now time.Time) {
+	blc.meter.cause(act.Cause())
+	blc.log.Info(outcome, zap.Stringer("flow", act.Key()), zap.Stringer("cause", act.Cause()), zap.Stringer("agent", netip.AddrFrom4(act.Agent())),
+		zap.Uint64("version", blc.board.State().Version()), zap.Duration("stateAge", now.Sub(blc.rep.ConfirmedAt())))
+}
+
+func (blc *balancer) flush() {
+	blc.post.flush()
+	blc.toUser.flush()
+	if blc.table.Busy() {
+		blc.awake()
+	}
+}
+
+// tick handles the passing of time and returns when the next tick is due.
+func (blc *balancer) tick(now time.Time) time.Time {
+	blc.mu.Lock()
+	defer blc.mu.Unlock()
+	blc.fleet.Tick(now)
+	blc.table.Tick(now)
+	blc.perform(now)
+	blc.beats(now)
+	blc.flush()
+	if blc.table.Busy() {
+		return now.Add(busyTick)
+	}
+	return now.Add(idleTick)
+}
+
+// beats sends the heartbeats that are due. A round reaches every agent; a large
+// fleet's round takes longer, at a bounded rate.
+func (blc *balancer) beats(now time.Time) {
+	if len(blc.beatsTo) == 0 && !now.Before(blc.roundAt) {
+		blc.roundAt = now.Add(beatInterval)
+		for ip := range blc.fleet.All() {
+			blc.beatsTo = append(blc.beatsTo, ip)
+		}
+		blc.beatBalancers(now)
+	}
+	if now.Before(blc.beatAt) || len(blc.beatsTo) == 0 {
+		return
+	}
+	blc.beatAt = now.Add(beatInterval)
+	count := min(len(blc.beatsTo), int(beatsPerSecond*beatInterval/time.Second))
+	hdr, tail := blc.beat(0, now), blc.introduce(now)
+	for _, ip := range blc.beatsTo[:count] {
+		if agt := blc.fleet.Agent(ip); agt != nil {
+			agt.NoteBeat(now)
+			blc.post.framed(hdr, tail, addrOf(ip, blc.self.Port()))
+		}
+	}
+	blc.beatsTo = blc.beatsTo[count:]
+}
+
+// beatBalancers sends a heartbeat to the balancers that are known.
+func (blc *balancer) beatBalancers(now time.Time) {
+	known := make(map[[4]byte]bool)
+	for _, seed := range blc.set.Seeds() {
+		known[seed.Addr().As4()] = true
+	}
+	for _, ip := range blc.rep.Balancers(now) {
+		known[ip] = true
+	}
+	delete(known, blc.self.Addr().As4())
+	hdr := blc.beat(0, now)
+	for ip := range known {
+		blc.post.framed(hdr, nil, addrOf(ip, blc.self.Port()))
+	}
+}
+
+// introduce returns the balancers that a heartbeat names.
+func (blc *balancer) introduce(now time.Time) []byte {
+	var tail []byte
+	for i, ip := range blc.rep.Balancers(now) {
+		if i < introductions {
+			tail = append(tail, ip[:]...)
+		}
+	}
+	return tail
+}
--- /dev/null
+++ b/io/carry/base.go
@@ -0,0 +1,146 @@
+// Package carry runs the processes of lagoondrum where callers speak packets of
+// the platform's own format: sockets, timers, heartbeats, readiness, logs and
+// metrics around the decisions of core/track and core/owner.
+package carry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+
+	"lagoondrum/core/hop"
+	"lagoondrum/io/conf"
+	"lagoondrum/io/gossip"
+	"lagoondrum/io/mmsg"
+	"lagoondrum/io/stats"
+	"lagoondrum/platform"
+)
+
+// Timing and limits of every process.
+const (
+	busyTick      = 10 * time.Millisecond // Between ticks while answers are awaited.
+	idleTick      = 50 * time.Millisecond // Between ticks otherwise.
+	beatInterval  = 250 * time.Millisecond
+	headerTimeout = 2 * time.Second // For a request to an own HTTP address.
+	schedulers    = 4               // Readers block in system calls; with one scheduler each the others need not wait for the runtime to notice.
+	gcPercent     = 50              // Heap growth between collections: the heap is some MB, and memory is scarce.
+)
+
+// base is what every process has.
+type base struct {
+	set         *conf.Settings
+	log         *zap.Logger
+	scope       *stats.Scope
+	rep         *gossip.Replica
+	peers       *mmsg.Conn
+	post        *post // Over peers.
+	self        netip.AddrPort
+	incarnation uint64
+	ready       atomic.Bool
+	sup         *suture.Supervisor
+}
+
+func newBase(set *conf.Settings, log *zap.Logger, balancer bool) (*base, error) {
+	debug.SetGCPercent(gcPercent)
+	runtime.GOMAXPROCS(schedulers)
+	self := set.PeerAddress()
+	con, err := mmsg.Listen(self, false)
+	if err != nil {
+		return nil, err
+	}
+	bas := &base{
+		set:         set,
+		log:         log,
+		scope:       stats.New(set.Name()),
+		peers:       con,
+		post:        newPost(con),
+		self:        self,
+		incarnation: rand.Uint64() | 1,
+		sup:         suture.New(set.Name(), suture.Spec{EventHook: func(evt suture.Event) { log.Warn("supervisor", zap.String("event", evt.String())) }}),
+	}
+	sto := platform.NewStore(set.Platform())
+	bas.rep = gossip.New(sto, platform.HistoryLost, self.Addr().As4(), balancer, log)
+	return bas, nil
+}
+
+// serveHTTP adds the process's HTTP addresses to its supervisor.
+func (bas *base) serveHTTP() error {
+	changes := http.NewServeMux()
+	changes.Handle(gossip.ChangesPath, bas.rep)
+	ready := http.NewServeMux()
+	ready.HandleFunc(platform.ReadyPath, bas.serveReady)
+	metrics := http.NewServeMux()
+	metrics.Handle("/metrics", bas.scope)
+	for addr, mux := range map[netip.AddrPort]*http.ServeMux{
+		bas.self:                 changes,
+		bas.set.ReadyAddress():   ready,
+		bas.set.MetricsAddress(): metrics,
+	} {
+		lst, err := net.Listen("tcp4", addr.String())
+		if err != nil {
+			return errors.Wrapf(err, "listen at %s", addr)
+		}
+		bas.sup.Add(&server{lst: lst, srv: &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}})
+	}
+	return nil
+}
+
+func (bas *base) serveReady(rw http.ResponseWriter, _ *http.Request) {
+	if !bas.ready.Load() {
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// server is one HTTP address.
+type server struct {
+	lst net.Listener
+	srv *http.Server
+}
+
+// Serve answers until ctx ends.
+func (srv *server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = srv.srv.Close() })
+	defer stop()
+	if err := srv.srv.Serve(srv.lst); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return suture.ErrDoNotRestart
+}
+
+// beat returns the header of a heartbeat of this process.
+func (bas *base) beat(service uint64, now time.Time) hop.Header {
+	hdr := hop.NewBeat(service, bas.incarnation, bas.rep.Revision())
+	if at := bas.rep.ConfirmedAt(); !at.IsZero() {
+		hdr = hdr.WithFresh().WithSeq(uint32(now.Sub(at).Milliseconds()))
+	}
+	if bas.rep.Able() {
+		hdr = hdr.WithReader()
+	}
+	return hdr
+}
+
+// heardBeat takes what a heartbeat tells of the platform's state.
+func (bas *base) heardBeat(hdr hop.Header, from netip.AddrPort, now time.Time) {
+	if !hdr.Fresh() {
+		return
+	}
+	confirmed := now.Add(-time.Duration(hdr.Seq()) * time.Millisecond)
+	bas.rep.Heard(from, hdr.Service() == 0, hdr.Reader(), hdr.Revision(), confirmed, now)
+}
+
+// close closes what the supervisor does not.
+func (bas *base) close() {
+	_ = bas.peers.Close()
+	_ = bas.scope.Close()
+	_ = bas.log.Sync() // Standard output cannot be synced everywhere.
+}
--- a/io/conf/check.go
+++ b/io/conf/check.go
@@ -76,3 +76,23 @@
 	}
 	return parts
 }
+
+// What callers speak.
+const (
+	fabricQUIC    = "quic"
+	fabricPackets = "packets"
+)
+
+func isFabric(value string) string {
+	if value != fabricQUIC && value != fabricPackets {
+		return "not one of " + fabricQUIC + ", " + fabricPackets
+	}
+	return ""
+}
+
+func isBool(value string) string {
+	if value != "true" && value != "false" {
+		return "not true or false"
+	}
+	return ""
+}
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -34,6 +34,8 @@
 	{"process", "name", "lagoondrum", "", "name of the process in logs and metrics", notEmpty},
 	{"process", "zone", "zone", "", "availability zone of the VM", notEmpty},
 	{"process", "region", "region", "", "region of the VM", notEmpty},
+	{"process", "fabric", "quic", "", "what callers speak: quic, or packets of the platform's own format", isFabric},
+	{"process", "firstStart", "false", "", "whether the whole system starts for the first time, so that no flow can be open", isBool},
 	{"entry", "port", "443", "port", "UDP port on which callers reach every address", isPort},
 	{"peer", "address", "127.0.0.1:7842", "ip:port", "where other processes reach this one, over UDP and TCP", isAddrPort},
 	{"peer", "seeds", "", "ip:port,...", "processes to ask for the lists before the platform is trusted", isAddrPorts},
@@ -48,6 +50,12 @@
 	{"admin", "cert", "", "file", "certificate of the administration API", anyValue},
 	{"admin", "key", "", "file", "private key of the administration API", anyValue},
 	{"admin", "tokens", "", "team:token,...", "bearer token of each team; the team * sees every customer", isTokens},
+	{"packets", "listen", "127.0.0.1:7850", "ip:port", "where a balancer gets packets of clients; clients are reached at its port", isAddrPort},
+	{"packets", "outbound", "127.0.0.1:7851", "ip:port", "where an agent gets the packets that its upstream sends", isAddrPort},
+	{"packets", "ready", "127.0.0.1:7852", "ip:port", "where the platform asks whether the process is ready", isAddrPort},
+	{"packets", "metrics", "127.0.0.1:7853", "ip:port", "where metrics are served", isAddrPort},
+	{"packets", "longestFlowSeconds", "60", "s", "age at which a flow may be discarded", isSeconds},
+	{"packets", "graceSeconds", "6", "s", "time between SIGTERM and SIGKILL", isSeconds},
 	{"drain", "seconds", "3600", "s", "longest time between SIGTERM and the end of the process", isSeconds},
 	{"log", "level", "info", "", "lowest level that is logged: debug, info, warn or error", isLevel},
 }
@@ -185,6 +193,34 @@
 	return seeds
 }
 
+// Packets reports whether callers speak the platform's packets.
+func (set *Settings) Packets() bool { return set.get("process.fabric") == fabricPackets }
+
+// FirstStart reports whether the whole system starts for the first time.
+func (set *Settings) FirstStart() bool { return set.get("process.firstStart") == "true" }
+
+// PacketListen returns where a balancer gets packets of clients.
+func (set *Settings) PacketListen() netip.AddrPort { return set.addrPort("packets.listen") }
+
+// PacketOutbound returns where an agent gets packets of its upstream.
+func (set *Settings) PacketOutbound() netip.AddrPort { return set.addrPort("packets.outbound") }
+
+// ReadyAddress returns where the platform asks whether the process is ready.
+func (set *Settings) ReadyAddress() netip.AddrPort { return set.addrPort("packets.ready") }
+
+// MetricsAddress returns where metrics are served.
+func (set *Settings) MetricsAddress() netip.AddrPort { return set.addrPort("packets.metrics") }
+
+// FlowDeadline returns when a flow that opens now may be discarded.
+func (set *Settings) FlowDeadline(now time.Time) time.Time {
+	return now.Add(set.seconds("packets.longestFlowSeconds"))
+}
+
+// GraceDeadline returns when a process that gets SIGTERM now is killed.
+func (set *Settings) GraceDeadline(now time.Time) time.Time {
+	return now.Add(set.seconds("packets.graceSeconds"))
+}
+
 // Platform returns the address of the configuration service.
 func (set *Settings) Platform() netip.AddrPort { return set.addrPort("platform.address") }
 
@@ -221,8 +257,12 @@
 
 // DrainDeadline returns when a drain that starts now ends at the latest.
 func (set *Settings) DrainDeadline(now time.Time) time.Time {
-	secs, _ := strconv.Atoi(set.get("drain.seconds"))
-	return now.Add(time.Duration(secs) * time.Second)
+	return now.Add(set.seconds("drain.seconds"))
+}
+
+func (set *Settings) seconds(key string) time.Duration {
+	secs, _ := strconv.Atoi(set.get(key)) // Checked when it was read.
+	return time.Duration(secs) * time.Second
 }
 
 // LogLevel returns the lowest level that is logged.
--- /dev/null
+++ b/io/gossip/replica.go
@@ -0,0 +1,313 @@
+// Package gossip keeps a process's copy of the platform's state up to date: by
+// reading the platform where it is the process's duty, and from peers.
+package gossip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lagoondrum/core/mirror"
+)
+
+// Timing and limits.
+const (
+	watchWait   = 2 * time.Second        // A call to the platform waits this long for changes; a silent connection is found soon after.
+	idleDelay   = 100 * time.Millisecond // Between two looks whether reading is this process's duty.
+	retryDelay  = 250 * time.Millisecond // After the first failed call, doubled up to maxRetry.
+	maxRetry    = 2 * time.Second
+	pullTimeout = 700 * time.Millisecond // For a peer's answer; it is some milliseconds away.
+	maxUpdate   = 32 << 20               // Bytes of a peer's answer.
+)
+
+// ChangesPath is where a process answers peers.
+const ChangesPath = "/v1/changes"
+
+// Store is the platform as the replica reads it.
+type Store interface {
+	// State reads every item.
+	State(ctx context.Context) (revision uint64, items []mirror.Item, err error)
+	// Changes waits for changes after a revision.
+	Changes(ctx context.Context, after uint64, wait time.Duration) (revision uint64, items []mirror.Item, err error)
+	// Close drops the connections.
+	Close()
+}
+
+// Lost reports whether an error says that the platform dropped its history.
+type Lost func(err error) bool
+
+// Apply takes items that are new, in a call of the replica's own goroutines. The
+// replica is not locked during the call; calls come one after the other.
+type Apply func(items []mirror.Item, now time.Time)
+
+// Replica is a process's copy of the platform's state.
+type Replica struct {
+	store  Store
+	lost   Lost
+	log    *zap.Logger
+	client *http.Client
+
+	applyMu sync.Mutex // Held to change the mirror and to hand on what changed, in order.
+	mu      sync.Mutex
+	mir     *mirror.Mirror
+	duty    *mirror.Duty
+	reading bool
+	pulling bool
+	source  netip.AddrPort // A peer that knows more.
+	ahead   uint64         // What it knows.
+	apply   Apply
+	calls   uint64
+}
+
+// New returns an empty replica of a process on the VM with an IP number.
+func New(sto Store, lost Lost, self [4]byte, balancer bool, log *zap.Logger) *Replica {
+	dialer := &net.Dialer{Timeout: pullTimeout, KeepAlive: -1}
+	return &Replica{
+		store:  sto,
+		lost:   lost,
+		log:    log,
+		client: &http.Client{Timeout: pullTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
+		mir:    mirror.New(),
+		duty:   mirror.NewDuty(self, balancer),
+	}
+}
+
+// OnChange sets who takes what is new. It is called before Serve.
+func (rep *Replica) OnChange(apl Apply) { rep.apply = apl }
+
+// Revision returns the revision of the state.
+func (rep *Replica) Revision() uint64 {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	return rep.mir.Revision()
+}
+
+// ConfirmedAt returns when the state was last known to be the newest.
+func (rep *Replica) ConfirmedAt() time.Time {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	return rep.duty.ConfirmedAt()
+}
+
+// Able reports whether the platform answered this process's last call.
+func (rep *Replica) Able() bool {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	return rep.duty.Able()
+}
+
+// Balancers returns the balancers that were heard lately.
+func (rep *Replica) Balancers(now time.Time) [][4]byte {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	return rep.duty.Balancers(now)
+}
+
+// Heard takes a peer's word on what it knows: a revision that it confirmed at a
+// time. A peer that knows more is asked for it.
+func (rep *Replica) Heard(from netip.AddrPort, balancer, able bool, revision uint64, confirmedAt, now time.Time) {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	if balancer {
+		rep.duty.NotePeer(from.Addr().As4(), able, now)
+	}
+	if revision <= rep.mir.Revision() {
+		if revision == rep.mir.Revision() {
+			rep.duty.NoteConfirmed(confirmedAt)
+		}
+		return
+	}
+	if revision > rep.ahead || !rep.pulling {
+		rep.source, rep.ahead = from, revision
+	}
+	if !rep.pulling {
+		rep.pulling = true
+		go rep.pull()
+	}
+}
+
+// pull asks peers until none is known that knows more.
+func (rep *Replica) pull() {
+	for {
+		rep.mu.Lock()
+		source, after := rep.source, rep.mir.Revision()
+		if rep.ahead <= after {
+			rep.pulling = false
+			rep.mu.Unlock()
+			return
+		}
+		rep.mu.Unlock()
+		upd, err := rep.fetch(source, after)
+		if err != nil {
+			rep.log.Info("peer did not answer", zap.Stringer("peer", source), zap.Uint64("after", after), zap.Error(err))
+			rep.mu.Lock()
+			rep.pulling = false // The next heartbeat starts another try.
+			rep.ahead = 0
+			rep.mu.Unlock()
+			return
+		}
+		rep.adopt(upd, time.Now())
+		rep.mu.Lock()
+		if rep.mir.Revision() < rep.ahead {
+			rep.ahead = rep.mir.Revision()
+		}
+		rep.mu.Unlock()
+	}
+}
+
+// StatusError reports a peer's answer other than success.
+type StatusError struct{ code int }
+
+func (err *StatusError) Error() string { return fmt.Sprintf("gossip: peer answered %d", err.code) }
+
+func (rep *Replica) fetch(source netip.AddrPort, after uint64) (update, error) {
+	rsp, err := rep.client.Get("http://" + source.String() + ChangesPath + "?after=" + strconv.FormatUint(after, 10))
+	if err != nil {
+		return update{}, err
+	}
+	defer rsp.Body.Close()
+	if rsp.StatusCode != http.StatusOK {
+		return update{}, &StatusError{code: rsp.StatusCode}
+	}
+	body, err := io.ReadAll(io.LimitReader(rsp.Body, maxUpdate))
+	if err != nil {
+		return update{}, err
+	}
+	return decodeUpdate(body)
+}
+
+// ServeHTTP answers a peer that asks for what changed after a revision.
+func (rep *Replica) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
+	after, err := strconv.ParseUint(req.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(rw, "after is not a revision", http.StatusBadRequest)
+		return
+	}
+	rep.mu.Lock()
+	items, whole := rep.mir.Since(after)
+	upd := update{after: after, revision: rep.mir.Revision(), whole: whole, items: items}
+	rep.mu.Unlock()
+	if _, err := rw.Write(upd.encode()); err != nil {
+		rep.log.Debug("peer left before its answer", zap.Error(err))
+	}
+}
+
+// adopt takes an update into the mirror and hands on what is new.
+func (rep *Replica) adopt(upd update, now time.Time) {
+	rep.applyMu.Lock()
+	defer rep.applyMu.Unlock()
+	rep.mu.Lock()
+	before := rep.mir.Revision()
+	var news []mirror.Item
+	if upd.whole {
+		news = rep.mir.Replace(upd.revision, upd.items)
+	} else {
+		news, _ = rep.mir.Update(upd.after, upd.revision, upd.items)
+	}
+	moved := rep.mir.Revision() != before
+	rep.mu.Unlock()
+	if moved || len(news) > 0 {
+		rep.apply(news, now)
+	}
+}
+
+// Serve reads the platform whenever that is this process's duty, until ctx ends.
+func (rep *Replica) Serve(ctx context.Context) error {
+	delay := retryDelay
+	for ctx.Err() == nil {
+		if !rep.onDuty(time.Now()) {
+			sleep(ctx, idleDelay)
+			continue
+		}
+		err := rep.read(ctx)
+		rep.noteCall(err)
+		if err == nil {
+			delay = retryDelay
+			continue
+		}
+		sleep(ctx, delay)
+		delay = min(2*delay, maxRetry)
+	}
+	return ctx.Err()
+}
+
+func (rep *Replica) onDuty(now time.Time) bool {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	reads := rep.duty.Reads(now)
+	if reads != rep.reading {
+		rep.reading = reads
+		rep.log.Info("reading the platform", zap.Bool("reads", reads), zap.Uint64("revision", rep.mir.Revision()),
+			zap.Duration("age", now.Sub(rep.duty.ConfirmedAt())))
+	}
+	return reads
+}
+
+// read makes one call: for the whole state at first and when the history is
+// lost, else for changes.
+func (rep *Replica) read(ctx context.Context) error {
+	after := rep.Revision()
+	if after == 0 {
+		return rep.readWhole(ctx)
+	}
+	revision, items, err := rep.store.Changes(ctx, after, watchWait)
+	if err != nil && rep.lost(err) {
+		rep.log.Info("platform dropped its history", zap.Uint64("revision", after))
+		return rep.readWhole(ctx)
+	}
+	if err == nil {
+		rep.adopt(update{after: after, revision: revision, items: items}, time.Now())
+	}
+	return err
+}
+
+func (rep *Replica) readWhole(ctx context.Context) error {
+	revision, items, err := rep.store.State(ctx)
+	if err == nil {
+		rep.adopt(update{revision: revision, whole: true, items: items}, time.Now())
+	}
+	return err
+}
+
+func (rep *Replica) noteCall(err error) {
+	now := time.Now()
+	rep.mu.Lock()
+	was := rep.duty.Able()
+	rep.calls++
+	rep.duty.NoteCall(err == nil, now)
+	rep.mu.Unlock()
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	switch {
+	case err != nil && was:
+		rep.log.Warn("platform lost", zap.Error(err))
+	case err == nil && !was:
+		rep.log.Info("platform regained")
+	}
+}
+
+// Calls returns how many calls the platform was sent.
+func (rep *Replica) Calls() uint64 {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	return rep.calls
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -14,6 +14,7 @@
 	"lagoondrum/core/token"
 	"lagoondrum/io/admin"
 	"lagoondrum/io/agent"
+	"lagoondrum/io/carry"
 	"lagoondrum/io/conf"
 	"lagoondrum/io/entry"
 	"lagoondrum/io/feed"
@@ -61,6 +62,7 @@
 	cfg := zap.NewProductionConfig()
 	cfg.DisableCaller = true
 	cfg.DisableStacktrace = true
+	cfg.OutputPaths = []string{"stdout"}
 	level, err := zap.ParseAtomicLevel(set.LogLevel())
 	if err != nil {
 		return nil, err
@@ -121,6 +123,9 @@
 
 // RunBalancer runs a balancer until ctx ends.
 func RunBalancer(ctx context.Context, set *conf.Settings) error {
+	if set.Packets() {
+		return runPackets(ctx, set, carry.RunBalancer)
+	}
 	bas, err := newBase(set)
 	if err != nil {
 		return err
@@ -150,6 +155,15 @@
 	return nil
 }
 
+// runPackets runs a process whose callers speak the platform's packets.
+func runPackets(ctx context.Context, set *conf.Settings, run func(context.Context, *conf.Settings, *zap.Logger) error) error {
+	log, err := newLogger(set)
+	if err != nil {
+		return err
+	}
+	return run(ctx, set, log)
+}
+
 // tableMaker puts a new table in force whenever a list has changed.
 type tableMaker struct {
 	ent   *entry.Entry
@@ -167,6 +181,9 @@
 
 // RunAgent runs an agent until ctx ends and its drain is over.
 func RunAgent(ctx context.Context, set *conf.Settings) error {
+	if set.Packets() {
+		return runPackets(ctx, set, carry.RunAgent)
+	}
 	bas, err := newBase(set)
 	if err != nil {
 		return err
