Keep a connection whose move to a new path failed

Two thirds of the packets of a probe reach a balancer, so some probes fail. The client then closed the transport of the failed path, and with it the whole connection, which the QUIC library registers at the transport of every path that it probes. Besides, the failed path was left open in the library: it kept its connection ID and its place before later probes.

Ruled out: load (the debug trace shows 'transport closed' as the cause of the ended connections, 1.4 s after a failed probe).

Change: a failed path is closed in the library, its transport with the connection.

--- a/io/caller/link.go
+++ b/io/caller/link.go
@@ -44,6 +44,10 @@
 
 	mu    sync.Mutex
 	paths []*path // The last one is in use; the others stay open for late packets.
+
+	// failed are paths that were probed in vain. Closing the transport of one ends
+	// the whole connection, which is registered there, so they are closed with it.
+	failed []*path
 }
 
 // dial opens a connection and its session.
@@ -169,12 +173,13 @@
 	if err != nil {
 		return false
 	}
-	if err := lnk.probe(pth); err != nil {
-		pth.close()
-		return false
-	}
+	err = lnk.probe(pth)
 	lnk.mu.Lock()
 	defer lnk.mu.Unlock()
+	if err != nil {
+		lnk.failed = append(lnk.failed, pth)
+		return false
+	}
 	lnk.paths = append(lnk.paths, pth)
 	lnk.moves.Add(1)
 	return true
@@ -188,7 +193,8 @@
 	ctx, cancel := context.WithTimeout(lnk.conn.Context(), probeTimeout)
 	defer cancel()
 	if err := next.Probe(ctx); err != nil {
-		return errors.WithStack(err)
+		// Left open, the path would keep its connection ID and its place before later probes.
+		return errors.CombineErrors(errors.WithStack(err), next.Close())
 	}
 	return errors.WithStack(next.Switch())
 }
@@ -207,7 +213,7 @@
 	}
 	lnk.mu.Lock()
 	defer lnk.mu.Unlock()
-	for _, pth := range lnk.paths {
+	for _, pth := range append(lnk.failed, lnk.paths...) {
 		pth.close()
 	}
 }
