Prove the decisions on packets, and mend what the proof found

Change: flows carry their service's number; only open flows are reset with their upstream; acknowledgements have to lie in what the upstream has sent; agents first say what they know, then unsure ones try the packet one by one. An agent's memory counts as whole after the time for which idle flows are kept.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -4,6 +4,8 @@
 package fleet
 
 import (
+	"bytes"
+	"slices"
 	"time"
 
 	"lagoondrum/core/hop"
@@ -121,12 +123,15 @@
 		name := agt.server.service
 		flt.services[name] = append(flt.services[name], agt)
 	}
+	for _, agts := range flt.services {
+		slices.SortFunc(agts, func(one, other *Agent) int { return bytes.Compare(one.server.address[:], other.server.address[:]) })
+	}
 }
 
 // Agent returns the agent on the VM with an IP number, nil when none is known.
 func (flt *Fleet) Agent(ip [4]byte) *Agent { return flt.agents[ip] }
 
-// Service returns the agents of a service, in no order.
+// Service returns the agents of a service, by IP number.
 func (flt *Fleet) Service(name string) []*Agent { return flt.services[name] }
 
 // All returns every agent.
--- a/core/flow/flow.go
+++ b/core/flow/flow.go
@@ -3,9 +3,11 @@
 package flow
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"net/netip"
+	"slices"
 )
 
 // End is one end of a flow.
@@ -75,6 +77,17 @@
 	}
 }
 
+// Sort orders keys, so that decisions on many flows do not depend on the order in
+// which they are stored.
+func Sort(keys []Key) {
+	slices.SortFunc(keys, func(one, other Key) int {
+		var left, right [KeyBytes]byte
+		one.Put(left[:])
+		other.Put(right[:])
+		return bytes.Compare(left[:], right[:])
+	})
+}
+
 // Flags are the flags of a packet.
 type Flags uint8
 
@@ -130,11 +143,15 @@
 // FromUpstream returns the flow of a packet that an upstream wrote.
 func (pkt Packet) FromUpstream() Key { return Key{client: pkt.to, service: pkt.from} }
 
-// ackWindow is how far a client's acknowledgement may be ahead of the
-// upstream's first sequence number: 64 MiB, beyond what a flow carries in its
-// longest life at the rates of docs/CAPACITY.md.
-const ackWindow = 64 << 20
+// ackSlack is how far an acknowledgement may be beyond what was sent: the
+// opening and the end of a flow count as one each.
+const ackSlack = 2
+
+// Answers reports whether a client's acknowledgement answers an upstream that
+// opened the flow with the sequence number first and has sent up to sent. Of two
+// upstreams that answered one opening, a client's packets answer only the one it
+// chose.
+func Answers(ack, first, sent uint32) bool { return ack-first <= sent-first+ackSlack }
 
-// Fits reports whether a client's acknowledgement answers an upstream that
-// opened the flow with the sequence number first.
-func Fits(ack, first uint32) bool { return ack-first <= ackWindow }
+// End returns the sequence number after the packet's data.
+func (pkt Packet) End() uint32 { return pkt.seq + uint32(pkt.size) }
--- a/core/hop/hop.go
+++ b/core/hop/hop.go
@@ -17,17 +17,19 @@
 const (
 	Open    Kind = iota + 1 // Balancer to agent: a packet that asks to open a flow.
 	Data                    // Balancer to agent: a packet of a flow that the agent holds.
-	Seek                    // Balancer to agent: deliver the packet if the agent holds its flow, and say so.
+	Seek                    // Balancer to agent: deliver the packet if the agent knows that it holds its flow, and say so.
+	Try                     // Balancer to agent: deliver the packet unless the agent knows that it does not hold its flow.
 	Opened                  // Agent to balancer: the upstream answered the opening packet.
 	Refused                 // Agent to balancer: the flow is not opened here.
 	Held                    // Agent to balancer: the flow is held here.
 	Absent                  // Agent to balancer: the flow is not held here; the packet may follow.
+	Unsure                  // Agent to balancer: the agent's memory does not reach back far enough to tell.
 	Gone                    // Agent to balancer: the flow has ended.
 	Beat                    // Both ways: the sender lives.
 	kindEnd
 )
 
-var kindNames = [...]string{"", "open", "data", "seek", "opened", "refused", "held", "absent", "gone", "beat"}
+var kindNames = [...]string{"", "open", "data", "seek", "try", "opened", "refused", "held", "absent", "unsure", "gone", "beat"}
 
 // String returns the kind's name in logs and metrics.
 func (knd Kind) String() string { return kindNames[knd] }
--- a/core/owner/book.go
+++ b/core/owner/book.go
@@ -44,8 +44,8 @@
 	data     bool // The packet of a trial came as Data.
 	finUp    bool
 	finDown  bool
-	hasSeq   bool
 	seq      uint32 // The upstream's first sequence number.
+	sent     uint32 // The end of what the upstream sent.
 	first    uint32 // The client's first sequence number.
 	ack      uint32 // The client's last acknowledgement.
 	via      flow.End
@@ -55,38 +55,47 @@
 
 // Book is the record of all flows of one upstream.
 type Book struct {
-	service    uint64
-	idle       time.Duration
-	completeAt time.Time // From then on an unknown flow is proof that it is not here.
-	records    map[flow.Key]*record
-	denied     map[flow.Key]time.Time
-	waiting    map[flow.Key]*record // Opening or trying.
-	doomed     []flow.Key           // Flows of an upstream that has ended.
-	leaving    bool
-	down       bool
-	silentBy   time.Time // When the upstream is probed unless it answers, zero when it owes nothing.
-	probeAt    time.Time
-	sweepAt    time.Time
-	meter      meter
-	out        []Action
+	service   uint64
+	idle      time.Duration
+	startedAt time.Time
+	complete  bool // The record lacks nothing, as the whole system started with it.
+	records   map[flow.Key]*record
+	denied    map[flow.Key]time.Time
+	waiting   map[flow.Key]*record // Opening or trying.
+	doomed    []flow.Key           // Flows of an upstream that has ended.
+	leaving   bool
+	down      bool
+	silentBy  time.Time // When the upstream is probed unless it answers, zero when it owes nothing.
+	probeAt   time.Time
+	sweepAt   time.Time
+	meter     meter
+	out       []Action
 }
 
-// New returns an empty record of an upstream's flows. Until completeAt the
-// upstream may hold flows from before.
-func New(service uint64, idle time.Duration, completeAt time.Time) *Book {
+// New returns an empty record of an upstream's flows, which are kept for idle
+// without packets. Unless the record is complete, the upstream may hold flows
+// from before startedAt.
+func New(service uint64, idle time.Duration, startedAt time.Time, complete bool) *Book {
 	return &Book{
-		service:    service,
-		idle:       idle,
-		completeAt: completeAt,
-		records:    make(map[flow.Key]*record),
-		denied:     make(map[flow.Key]time.Time),
-		waiting:    make(map[flow.Key]*record),
+		service:   service,
+		idle:      idle,
+		startedAt: startedAt,
+		complete:  complete,
+		records:   make(map[flow.Key]*record),
+		denied:    make(map[flow.Key]time.Time),
+		waiting:   make(map[flow.Key]*record),
 	}
 }
 
 // SetIdle sets how long a flow without packets is kept.
 func (bok *Book) SetIdle(idle time.Duration) { bok.idle = idle }
 
+// reliable reports whether an unknown flow is proof that it is not here: what
+// was open before the start has sent packets since, or may be discarded.
+func (bok *Book) reliable(now time.Time) bool {
+	return bok.complete || now.Sub(bok.startedAt) >= bok.idle
+}
+
 // SetService sets the service of the upstream.
 func (bok *Book) SetService(service uint64) { bok.service = service }
 
@@ -121,7 +130,7 @@
 	switch hdr.Kind() {
 	case hop.Open:
 		bok.open(hdr, pkt, raw, from, now)
-	case hop.Data, hop.Seek:
+	case hop.Data, hop.Seek, hop.Try:
 		bok.carry(hdr, pkt, raw, from, now)
 	}
 }
@@ -178,11 +187,15 @@
 		bok.absent(key, hdr, raw, from, now)
 		return
 	}
+	if rec.phase == trying && hdr.Kind() == hop.Seek {
+		bok.tell(from, hop.New(hop.Unsure, bok.service, key), nil, now)
+		return
+	}
 	if rec.phase == half {
 		rec.phase = open
 	}
 	bok.noteClient(rec, pkt, now)
-	if hdr.Kind() == hop.Seek && rec.phase != trying {
+	if hdr.Kind() != hop.Data && rec.phase != trying {
 		bok.tell(from, hop.New(hop.Held, bok.service, key).WithSeq(rec.seq), nil, now)
 	}
 	rec.via = from
@@ -197,20 +210,25 @@
 	case opening:
 		return false
 	case half:
-		return pkt.Has(flow.Ack) && flow.Fits(pkt.Ack(), rec.seq)
+		return pkt.Has(flow.Ack) && flow.Answers(pkt.Ack(), rec.seq, rec.sent)
 	default:
 		return true
 	}
 }
 
-// unknown handles a packet of a flow that is not recorded. A record that may
-// lack flows from before a restart lets the upstream decide.
+// unknown handles a packet of a flow that is not recorded. Where the record may
+// lack flows from before a restart, the upstream decides: but only on a packet
+// that is meant for it, as packets at the wrong upstream break flows too.
 func (bok *Book) unknown(key flow.Key, hdr hop.Header, pkt flow.Packet, raw []byte, from flow.End, now time.Time) {
 	_, denied := bok.denied[key]
-	if denied || bok.down || !now.Before(bok.completeAt) {
+	if denied || bok.down || bok.reliable(now) {
 		bok.absent(key, hdr, raw, from, now)
 		return
 	}
+	if hdr.Kind() == hop.Seek {
+		bok.tell(from, hop.New(hop.Unsure, bok.service, key), nil, now)
+		return
+	}
 	rec := &record{phase: trying, via: from, data: hdr.Kind() == hop.Data, deadline: now.Add(trialTime), idleAt: now.Add(bok.idle)}
 	bok.records[key] = rec
 	bok.waiting[key] = rec
@@ -219,7 +237,7 @@
 }
 
 func (bok *Book) absent(key flow.Key, hdr hop.Header, raw []byte, from flow.End, now time.Time) {
-	if hdr.Kind() == hop.Seek {
+	if hdr.Kind() != hop.Data {
 		raw = nil // The balancer kept it.
 	}
 	bok.tell(from, hop.New(hop.Absent, hdr.Service(), key), raw, now)
@@ -237,6 +255,9 @@
 	rec := bok.records[key]
 	if rec == nil {
 		rec = &record{phase: open}
+		if pkt.Has(flow.Syn) {
+			rec.phase = half // The opening was delivered before a restart.
+		}
 		bok.records[key] = rec
 	}
 	rec.idleAt = now.Add(bok.idle)
@@ -257,7 +278,7 @@
 	if rec.phase == opening || rec.phase == half {
 		rec.phase = half
 	}
-	rec.seq, rec.hasSeq = pkt.Seq(), true
+	rec.seq, rec.sent = pkt.Seq(), pkt.End()
 	rec.opened = true
 	bok.tellOpened(key, rec, now)
 }
@@ -274,6 +295,9 @@
 		rec.phase = open
 		bok.tell(rec.via, hop.New(hop.Held, bok.service, key), nil, now)
 	}
+	if rec.phase == half && pkt.End()-rec.seq > rec.sent-rec.seq {
+		rec.sent = pkt.End()
+	}
 	if pkt.Size() > 0 {
 		bok.meter.end(rec, now)
 	}
--- a/core/owner/watch.go
+++ b/core/owner/watch.go
@@ -9,11 +9,7 @@
 
 // Tick handles the passing of time.
 func (bok *Book) Tick(now time.Time) {
-	for key, rec := range bok.waiting {
-		if !now.Before(rec.deadline) {
-			bok.overdue(key, rec, now)
-		}
-	}
+	bok.checkWaiting(now)
 	bok.watchUpstream(now)
 	bok.resetDoomed()
 	if !now.Before(bok.sweepAt) {
@@ -22,6 +18,19 @@
 	}
 }
 
+func (bok *Book) checkWaiting(now time.Time) {
+	var due []flow.Key
+	for key, rec := range bok.waiting {
+		if !now.Before(rec.deadline) {
+			due = append(due, key)
+		}
+	}
+	flow.Sort(due)
+	for _, key := range due {
+		bok.overdue(key, bok.waiting[key], now)
+	}
+}
+
 // overdue handles a flow whose upstream did not answer in time. An opening stays
 // recorded: the answer may still come.
 func (bok *Book) overdue(key flow.Key, rec *record, now time.Time) {
@@ -85,6 +94,7 @@
 	for key := range bok.records {
 		bok.doomed = append(bok.doomed, key)
 	}
+	flow.Sort(bok.doomed)
 	clear(bok.waiting)
 }
 
@@ -97,8 +107,8 @@
 		}
 		delete(bok.records, key)
 		bok.meter.end(rec, time.Time{})
-		if rec.phase == closed || rec.phase == trying {
-			continue
+		if rec.phase != open {
+			continue // Not proved to be this upstream's: others may have answered the opening too.
 		}
 		bok.out = append(bok.out, Action{kind: Reset, key: key, seq: rec.ack})
 		if rec.via != (flow.End{}) {
--- a/core/proof/main_test.go
+++ b/core/proof/main_test.go
@@ -28,6 +28,7 @@
 		_ = flag.Set("rapid.checks", cases)
 	}
 	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.shrinktime", "5s") // A caught mutant needs no smallest course.
 	os.Exit(m.Run())
 }
 
--- /dev/null
+++ b/core/proof/packets_test.go
@@ -0,0 +1,208 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// packetRules are deliberately broken decisions, none in the real system.
+type packetRules struct {
+	resetWithoutProof bool // A balancer resets a flow that it has no hint for.
+	trustEmptyMemory  bool // A restarted agent takes its empty record as proof.
+	anyService        bool // An agent delivers packets of any service.
+	ignoreAck         bool // An agent delivers a packet without regard to what it acknowledges.
+	ignoreDrain       bool // An agent opens flows at an upstream that leaves, and balancers do not hear of it.
+}
+
+// settleTime is how long nothing is done before flows have to work again: the
+// time to find out about dead agents, and some repeats of clients.
+const settleTime = 7 * time.Second
+
+// packetProperty plays random courses of events and checks the promises while
+// they run and at the end.
+func packetProperty(rules packetRules) func(*rapid.T) {
+	return func(t *rapid.T) {
+		scn := newScene(t, rules)
+		t.Repeat(map[string]func(*rapid.T){
+			"open": func(t *rapid.T) {
+				scn.t = t
+				for range rapid.IntRange(1, 4).Draw(t, "count") {
+					scn.open(rapid.IntRange(0, 1).Draw(t, "service"))
+				}
+				scn.run(scn.span(t))
+			},
+			"ask": func(t *rapid.T) {
+				scn.t = t
+				for _, flw := range scn.flows {
+					scn.ask(flw)
+				}
+				scn.run(scn.span(t))
+			},
+			"router moves flows": func(t *rapid.T) {
+				scn.t = t
+				for _, flw := range scn.flows {
+					flw.via = rapid.IntRange(0, sceneBalancers-1).Draw(t, "via")
+				}
+				scn.askAll()
+				scn.run(scn.span(t))
+			},
+			"balancer killed": func(t *rapid.T) {
+				scn.t = t
+				at := rapid.IntRange(0, sceneBalancers-1).Draw(t, "balancer")
+				scn.startBalancer(at)
+				scn.balancers[at].hurtAt = scn.now
+				scn.run(scn.span(t))
+			},
+			"balancer replaced": func(t *rapid.T) {
+				scn.t = t
+				scn.startBalancer(rapid.IntRange(0, sceneBalancers-1).Draw(t, "balancer"))
+				scn.askAll()
+				scn.run(scn.span(t))
+			},
+			"agent killed": func(t *rapid.T) {
+				scn.t = t
+				at := scn.vmOf(t)
+				scn.vms[at].hurtAt = scn.now
+				scn.restartAgent(at)
+				scn.run(scn.span(t))
+			},
+			"agent restarted": func(t *rapid.T) {
+				scn.t = t
+				at := scn.vmOf(t)
+				for blc := range scn.balancers {
+					scn.answerBeat(at, blc, true)
+				}
+				scn.run(10 * time.Millisecond)
+				scn.restartAgent(at)
+				scn.askAll()
+				scn.run(scn.span(t))
+			},
+			"upstream crashes": func(t *rapid.T) {
+				scn.t = t
+				vm := scn.vms[scn.vmOf(t)]
+				vm.up = false
+				vm.holds = nil
+				scn.run(scn.span(t))
+			},
+			"upstream drains": func(t *rapid.T) {
+				scn.t = t
+				at := scn.vmOf(t)
+				if vm := scn.vms[at]; vm.up && !vm.draining {
+					vm.draining, vm.drainAt = true, scn.now
+					if !rules.ignoreDrain {
+						scn.list(at)
+					}
+				}
+				scn.run(scn.span(t))
+			},
+			"address reused": func(t *rapid.T) {
+				scn.t = t
+				scn.reuse(scn.vmOf(t))
+				scn.run(scn.span(t))
+			},
+			"lists lag": func(t *rapid.T) {
+				scn.t = t
+				scn.balancers[rapid.IntRange(0, sceneBalancers-1).Draw(t, "balancer")].lag = rapid.SampledFrom([]time.Duration{0, listLag, 2 * time.Second}).Draw(t, "lag")
+			},
+			"network": func(t *rapid.T) {
+				scn.t = t
+				scn.lossy = rapid.Bool().Draw(t, "lossy")
+			},
+		})
+		scn.t = t
+		scn.assertSettled()
+	}
+}
+
+func (scn *scene) span(t *rapid.T) time.Duration {
+	return time.Duration(rapid.SampledFrom([]int{1, 30, 150, 700, 2500}).Draw(t, "ms")) * time.Millisecond
+}
+
+func (scn *scene) vmOf(t *rapid.T) int { return rapid.IntRange(0, sceneVMs-1).Draw(t, "vm") }
+
+func (scn *scene) askAll() {
+	for _, flw := range scn.flows {
+		scn.ask(flw)
+	}
+}
+
+func (scn *scene) restartAgent(at int) {
+	scn.vms[at].book = nil
+	life := scn.vms[at].agentLife
+	scn.after(restartTime, func() {
+		if scn.vms[at].book == nil && scn.vms[at].agentLife == life {
+			scn.startAgent(at, false)
+		}
+	})
+}
+
+// reuse ends a VM's upstream and its agent, and starts one of the other service
+// at the address.
+func (scn *scene) reuse(at int) {
+	vm := scn.vms[at]
+	vm.up, vm.listed, vm.hurtAt = false, false, scn.now
+	vm.holds = nil
+	scn.list(at)
+	scn.restartAgent(at)
+	scn.startUpstream(at, 1-vm.service)
+}
+
+// assertSettled checks that, once nothing happens any more, no client waits on a
+// flow: it is answered or was told that the flow is gone, and new flows open
+// wherever an upstream takes them.
+func (scn *scene) assertSettled() {
+	scn.lossy = false
+	for at := range scn.vms {
+		if vm := scn.vms[at]; !vm.up || vm.draining {
+			vm.up = false
+			scn.startUpstream(at, vm.service)
+		}
+	}
+	scn.run(settleTime)
+	for _, flw := range scn.flows {
+		if flw.asked > flw.answered {
+			flw.over = true // Asked in the turmoil; its client has given up.
+		}
+	}
+	before := len(scn.flows)
+	scn.askAll()
+	for service := range sceneServices {
+		scn.open(service)
+	}
+	scn.run(3 * time.Second)
+	for num, flw := range scn.flows {
+		if !flw.over && flw.seq != 0 && flw.answered < flw.asked {
+			scn.t.Fatalf("%s waits in vain", flw.key)
+		}
+		if num >= before && scn.serves(flw.service) && (flw.over || flw.answered == 0) {
+			scn.t.Fatalf("%s was not served", flw.key)
+		}
+	}
+}
+
+func (scn *scene) serves(service int) bool {
+	for _, vm := range scn.vms {
+		if vm.service == service && vm.up {
+			return true
+		}
+	}
+	return false
+}
+
+func TestPacketFlowsStayWholeAndServicesApart(t *testing.T) {
+	rapid.Check(t, packetProperty(packetRules{}))
+}
+
+func TestBrokenPacketDecisionsAreCaught(t *testing.T) {
+	for name, rules := range map[string]packetRules{
+		"a reset without proof":                          {resetWithoutProof: true},
+		"the empty record of a restarted agent is proof": {trustEmptyMemory: true},
+		"packets of any service are delivered":           {anyService: true},
+		"packets of another upstream's flow":             {ignoreAck: true},
+		"flows are opened at an upstream that leaves":    {ignoreDrain: true},
+	} {
+		t.Run(name, func(t *testing.T) { assertCaught(t, packetProperty(rules)) })
+	}
+}
--- a/core/track/opener.go
+++ b/core/track/opener.go
@@ -26,7 +26,7 @@
 	hash := place.Hash(key)
 	service := rte.Pick(hash)
 	tbl.remove(key)
-	ent = &entry{phase: opening, hash: hash, service: service, first: pkt.Seq(), opener: bytes.Clone(raw)}
+	ent = &entry{phase: opening, hash: hash, service: service, id: hop.ServiceID(service), first: pkt.Seq(), opener: bytes.Clone(raw)}
 	tbl.put(key, ent)
 	tbl.pending[key] = ent
 	tbl.next(key, ent, now)
@@ -36,7 +36,7 @@
 // yet: when no upstream answered, the next one is asked.
 func (tbl *Table) repeated(key flow.Key, ent *entry, raw []byte, now time.Time) {
 	if len(ent.holders) > 0 {
-		tbl.send(ent.holders[0].ip, hop.Open, ent.service, key, raw)
+		tbl.send(ent.holders[0].ip, hop.Open, ent.id, key, raw)
 		return
 	}
 	tbl.pending[key] = ent
@@ -54,7 +54,7 @@
 	ent.tried = append(ent.tried, agt.IP())
 	ent.deadline = now.Add(openTimeout)
 	agt.NoteOpening()
-	tbl.send(agt.IP(), hop.Open, ent.service, key, ent.opener)
+	tbl.send(agt.IP(), hop.Open, ent.id, key, ent.opener)
 }
 
 func (tbl *Table) choose(ent *entry, now time.Time) *fleet.Agent {
--- a/core/track/seek.go
+++ b/core/track/seek.go
@@ -29,6 +29,8 @@
 		tbl.held(key, ent, hdr, from)
 	case hop.Absent:
 		tbl.absent(key, ent, raw, from, now)
+	case hop.Unsure:
+		tbl.unsure(key, ent, from, now)
 	case hop.Gone:
 		tbl.gone(key, ent, from, now)
 	}
@@ -48,42 +50,110 @@
 	}
 }
 
+// search is the search for the agent that holds a flow: first all are asked what
+// they know, then those whose memory is too short try the packet, one by one.
+type search struct {
+	waves    int
+	answered bool      // Whoever can has said what it knows; tries are under way.
+	denied   [][4]byte // Agents that do not hold the flow.
+	unsure   [][4]byte // Agents that have yet to try the packet.
+	trying   [4]byte   // The agent that tries the packet now.
+	giveUpAt time.Time
+}
+
 // seek asks the agents who holds a flow. The packet goes along: the agent that
 // holds the flow delivers it.
 func (tbl *Table) seek(key flow.Key, ent *entry, raw []byte, cse Cause, now time.Time) {
 	ent.phase = seeking
 	ent.holders = nil
-	ent.denied = nil
 	ent.queue = nil
-	ent.waves = 0
-	ent.giveUpAt = now.Add(seekTime)
+	ent.search = search{giveUpAt: now.Add(seekTime)}
 	ent.enqueue(raw)
 	tbl.pending[key] = ent
 	tbl.notice(key, cse, [4]byte{})
-	tbl.nextWave(key, ent, now)
+	tbl.ask(key, ent, tbl.candidates(key, ent), now)
 }
 
-// nextWave asks those agents that have not denied the flow yet.
-func (tbl *Table) nextWave(key flow.Key, ent *entry, now time.Time) {
-	agts := tbl.candidates(key, ent)
-	if tbl.concluded(key, ent, agts, now) {
-		return
+// ask asks those agents that have not denied the flow yet.
+func (tbl *Table) ask(key flow.Key, ent *entry, agts []*fleet.Agent, now time.Time) {
+	sch := &ent.search
+	ent.deadline = now.Add(askTime)
+	if sch.waves == 0 && len(agts) > firstWave {
+		agts = agts[:firstWave]
+	}
+	sch.waves++
+	sch.answered = false
+	sch.unsure = sch.unsure[:0]
+	sch.trying = [4]byte{}
+	for _, agt := range agts {
+		if !slices.Contains(sch.denied, agt.IP()) {
+			tbl.send(agt.IP(), hop.Seek, agt.ServiceID(), key, ent.queue[0])
+		}
 	}
-	if !now.Before(ent.giveUpAt) {
+}
+
+// advance takes the next step of a search whose step has run out of time.
+func (tbl *Table) advance(key flow.Key, ent *entry, now time.Time) {
+	agts := tbl.candidates(key, ent)
+	switch {
+	case tbl.concluded(key, ent, agts, now):
+	case !now.Before(ent.search.giveUpAt):
 		tbl.notice(key, NotFound, [4]byte{})
 		tbl.remove(key)
+	case tbl.tryNext(key, ent, now):
+	case ent.search.answered || len(ent.search.unsure) == 0:
+		tbl.ask(key, ent, agts, now)
+		ent.deadline = now.Add(seekWave)
+	}
+}
+
+// tryNext has the next unsure agent try the packet, and reports whether there is
+// one.
+func (tbl *Table) tryNext(key flow.Key, ent *entry, now time.Time) bool {
+	sch := &ent.search
+	sch.answered = true
+	sch.trying = [4]byte{}
+	for len(sch.unsure) > 0 {
+		ip := sch.unsure[0]
+		sch.unsure = sch.unsure[1:]
+		agt := tbl.fleet.Agent(ip)
+		if agt == nil || slices.Contains(sch.denied, ip) {
+			continue
+		}
+		sch.trying = ip
+		ent.deadline = now.Add(tryTime)
+		tbl.send(ip, hop.Try, agt.ServiceID(), key, ent.queue[0])
+		return true
+	}
+	return false
+}
+
+// unsure handles an agent's word that it cannot tell whether it holds a flow.
+func (tbl *Table) unsure(key flow.Key, ent *entry, from [4]byte, now time.Time) {
+	sch := &ent.search
+	if ent.phase != seeking || sch.trying == from || slices.Contains(sch.unsure, from) {
 		return
 	}
-	ent.deadline = now.Add(seekWave)
-	if ent.waves == 0 && len(agts) > firstWave {
-		agts = agts[:firstWave]
+	sch.unsure = append(sch.unsure, from)
+	tbl.proceed(key, ent, now)
+}
+
+// proceed starts the tries once every agent that can be heard has answered.
+func (tbl *Table) proceed(key flow.Key, ent *entry, now time.Time) {
+	sch := &ent.search
+	if sch.answered {
+		if sch.trying == ([4]byte{}) {
+			tbl.tryNext(key, ent, now)
+		}
+		return
 	}
-	ent.waves++
-	for _, agt := range agts {
-		if !slices.Contains(ent.denied, agt.IP()) {
-			tbl.send(agt.IP(), hop.Seek, agt.Server().Service(), key, ent.queue[0])
+	for _, agt := range tbl.candidates(key, ent) {
+		ip := agt.IP()
+		if !slices.Contains(sch.denied, ip) && !slices.Contains(sch.unsure, ip) && !agt.Dead(now) {
+			return
 		}
 	}
+	tbl.tryNext(key, ent, now)
 }
 
 // candidates returns every agent that may hold a flow, the likeliest first.
@@ -106,11 +176,11 @@
 // concluded resets a flow that every agent which could hold it denies. Agents
 // that are dead need not be heard; one that lives and has not answered must.
 func (tbl *Table) concluded(key flow.Key, ent *entry, agts []*fleet.Agent, now time.Time) bool {
-	if len(ent.denied) == 0 {
+	if len(ent.search.denied) == 0 {
 		return false
 	}
 	for _, agt := range agts {
-		if !slices.Contains(ent.denied, agt.IP()) && !agt.Dead(now) {
+		if !slices.Contains(ent.search.denied, agt.IP()) && !agt.Dead(now) {
 			return false
 		}
 	}
@@ -123,7 +193,7 @@
 	delete(tbl.pending, key)
 	ent.phase = gone
 	ent.holders, ent.queue, ent.opener = nil, nil, nil
-	ent.giveUpAt = now.Add(goneTime)
+	ent.goneTill = now.Add(goneTime)
 	tbl.out = append(tbl.out, Action{kind: Reset, cause: cse, key: key, seq: ent.ack})
 }
 
@@ -134,11 +204,12 @@
 	}
 	delete(tbl.pending, key)
 	ent.phase = open
+	ent.id = hdr.Service()
 	ent.holders = append(ent.holders[:0], holder{ip: from, seq: hdr.Seq()})
 	tbl.notice(key, Found, from)
 	for i, raw := range ent.queue {
 		if i > 0 { // The first was delivered with the question.
-			tbl.send(from, hop.Data, ent.service, key, raw)
+			tbl.send(from, hop.Data, ent.id, key, raw)
 		}
 	}
 	ent.queue = nil
@@ -152,15 +223,20 @@
 			return
 		}
 		tbl.seek(key, ent, raw, HintWrong, now)
-		ent.denied = append(ent.denied, from)
+		ent.search.denied = append(ent.search.denied, from)
 	case seeking:
-		if !slices.Contains(ent.denied, from) {
-			ent.denied = append(ent.denied, from)
+		if !slices.Contains(ent.search.denied, from) {
+			ent.search.denied = append(ent.search.denied, from)
 		}
 		if len(raw) > 0 {
 			ent.enqueue(raw)
 		}
-		tbl.concluded(key, ent, tbl.candidates(key, ent), now)
+		if ent.search.trying == from {
+			ent.search.trying = [4]byte{}
+		}
+		if !tbl.concluded(key, ent, tbl.candidates(key, ent), now) {
+			tbl.proceed(key, ent, now)
+		}
 	}
 }
 
@@ -173,6 +249,6 @@
 	delete(tbl.pending, key)
 	ent.phase = gone
 	ent.holders, ent.queue, ent.opener = nil, nil, nil
-	ent.giveUpAt = now.Add(goneTime)
+	ent.goneTill = now.Add(goneTime)
 	tbl.notice(key, FlowGone, from)
 }
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -16,6 +16,8 @@
 // Limits of the table.
 const (
 	openTimeout = 60 * time.Millisecond  // For an agent to tell what became of an opening: the agent's own limit and the way.
+	askTime     = 30 * time.Millisecond  // For agents to tell what they know of a flow; they are some milliseconds away.
+	tryTime     = 60 * time.Millisecond  // For an agent to tell what became of a packet that it tried; see openTimeout.
 	seekWave    = 100 * time.Millisecond // Between two rounds of asking the agents about a flow.
 	seekTime    = 2500 * time.Millisecond
 	goneTime    = 5 * time.Second  // A flow that ended is remembered for late packets.
@@ -46,17 +48,17 @@
 	phase    phase
 	silent   bool // An agent left the opening unanswered, or said so of its upstream.
 	hash     uint64
-	service  string
+	service  string // Empty until it is known.
+	id       uint64 // The service's number in headers.
 	first    uint32 // The client's first sequence number.
 	ack      uint32
 	opener   []byte
 	tried    [][4]byte
 	holders  []holder
-	denied   [][4]byte
 	queue    [][]byte
-	waves    int
+	search   search
 	deadline time.Time // Of the step under way.
-	giveUpAt time.Time
+	goneTill time.Time // Until then a flow that has ended is remembered.
 }
 
 // Table is what one balancer remembers of flows.
@@ -142,13 +144,13 @@
 	}
 	switch ent.phase {
 	case open:
-		tbl.send(ent.holderOf(pkt), hop.Data, ent.service, key, raw)
+		tbl.send(ent.holderOf(pkt), hop.Data, ent.id, key, raw)
 	case opening:
 		tbl.settle(key, ent, pkt, raw, now)
 	case seeking:
 		ent.enqueue(raw)
 	case gone:
-		if now.Before(ent.giveUpAt) {
+		if now.Before(ent.goneTill) {
 			tbl.reset(key, pkt, FlowGone)
 			return
 		}
@@ -161,12 +163,13 @@
 // answered the opening, the client's acknowledgement tells which one it chose.
 func (ent *entry) holderOf(pkt flow.Packet) [4]byte {
 	if len(ent.holders) > 1 && pkt.Has(flow.Ack) {
+		nearest := 0
 		for i, hld := range ent.holders {
-			if flow.Fits(pkt.Ack(), hld.seq) {
-				ent.holders[0], ent.holders[i] = ent.holders[i], ent.holders[0]
-				break
+			if pkt.Ack()-hld.seq < pkt.Ack()-ent.holders[nearest].seq {
+				nearest = i
 			}
 		}
+		ent.holders[0] = ent.holders[nearest]
 		ent.holders = ent.holders[:1]
 	}
 	return ent.holders[0].ip
@@ -178,7 +181,7 @@
 	if len(ent.holders) > 0 {
 		ent.phase = open
 		delete(tbl.pending, key)
-		tbl.send(ent.holderOf(pkt), hop.Data, ent.service, key, raw)
+		tbl.send(ent.holderOf(pkt), hop.Data, ent.id, key, raw)
 		return
 	}
 	tbl.seek(key, ent, raw, NoHint, now)
@@ -204,14 +207,10 @@
 	}
 }
 
-func (tbl *Table) send(ip [4]byte, knd hop.Kind, service string, key flow.Key, raw []byte) {
-	id := uint64(0)
-	if agt := tbl.fleet.Agent(ip); agt != nil {
-		id = agt.ServiceID()
-	} else {
-		id = hop.ServiceID(service)
-	}
-	tbl.out = append(tbl.out, Action{kind: Send, agent: ip, key: key, header: hop.New(knd, id, key), packet: raw})
+// send sends a packet to an agent under the flow's own service: the address may
+// by now be another service's.
+func (tbl *Table) send(ip [4]byte, knd hop.Kind, service uint64, key flow.Key, raw []byte) {
+	tbl.out = append(tbl.out, Action{kind: Send, agent: ip, key: key, header: hop.New(knd, service, key), packet: raw})
 }
 
 func (tbl *Table) reset(key flow.Key, pkt flow.Packet, cse Cause) {
@@ -231,14 +230,18 @@
 
 // Tick handles the passing of time.
 func (tbl *Table) Tick(now time.Time) {
+	var due []flow.Key
 	for key, ent := range tbl.pending {
-		if now.Before(ent.deadline) {
-			continue
+		if !now.Before(ent.deadline) {
+			due = append(due, key)
 		}
-		if ent.phase == opening {
+	}
+	flow.Sort(due)
+	for _, key := range due {
+		if ent := tbl.pending[key]; ent.phase == opening {
 			tbl.unanswered(key, ent, now)
 		} else {
-			tbl.nextWave(key, ent, now)
+			tbl.advance(key, ent, now)
 		}
 	}
 	if !now.Before(tbl.turnAt) {
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -55,17 +55,12 @@
 		return err
 	}
 	defer con.Close()
-	now := time.Now()
-	complete := set.FlowDeadline(now)
-	if set.FirstStart() {
-		complete = now
-	}
 	agt := &agent{
 		base:      bas,
 		outbound:  con,
 		upstream:  set.Upstream(),
 		toApp:     newPost(con),
-		book:      owner.New(hop.ServiceID(set.Service()), defaultIdle, complete),
+		book:      owner.New(hop.ServiceID(set.Service()), defaultIdle, time.Now(), set.FirstStart()),
 		fleet:     fleet.New(),
 		meter:     newAgentMeter(bas.scope),
 		balancers: make(map[netip.AddrPort]time.Time),
@@ -115,6 +110,9 @@
 	defer agt.mu.Unlock()
 	for _, itm := range items {
 		knd, id := platform.KindOf(itm.Key())
+		if knd == platform.StateItem && !itm.Deleted() {
+			agt.adoptLimits(itm)
+		}
 		if knd != platform.ServerItem {
 			continue
 		}
@@ -131,6 +129,16 @@
 	agt.judgeOwn()
 }
 
+// adoptLimits takes what an agent needs of the desired state.
+func (agt *agent) adoptLimits(itm mirror.Item) {
+	idle, err := platform.ParseIdle(itm.Value())
+	if err != nil {
+		agt.log.Error("desired state cannot be used", zap.Uint64("revision", itm.Revision()), zap.Error(err))
+		return
+	}
+	agt.book.SetIdle(idle)
+}
+
 // judgeOwn takes what the platform lists of the own upstream.
 func (agt *agent) judgeOwn() {
 	own := agt.fleet.Agent(agt.self.Addr().As4())
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -54,7 +54,6 @@
 	{"packets", "outbound", "127.0.0.1:7851", "ip:port", "where an agent gets the packets that its upstream sends", isAddrPort},
 	{"packets", "ready", "127.0.0.1:7852", "ip:port", "where the platform asks whether the process is ready", isAddrPort},
 	{"packets", "metrics", "127.0.0.1:7853", "ip:port", "where metrics are served", isAddrPort},
-	{"packets", "longestFlowSeconds", "60", "s", "age at which a flow may be discarded", isSeconds},
 	{"packets", "graceSeconds", "6", "s", "time between SIGTERM and SIGKILL", isSeconds},
 	{"drain", "seconds", "3600", "s", "longest time between SIGTERM and the end of the process", isSeconds},
 	{"log", "level", "info", "", "lowest level that is logged: debug, info, warn or error", isLevel},
@@ -211,11 +210,6 @@
 // MetricsAddress returns where metrics are served.
 func (set *Settings) MetricsAddress() netip.AddrPort { return set.addrPort("packets.metrics") }
 
-// FlowDeadline returns when a flow that opens now may be discarded.
-func (set *Settings) FlowDeadline(now time.Time) time.Time {
-	return now.Add(set.seconds("packets.longestFlowSeconds"))
-}
-
 // GraceDeadline returns when a process that gets SIGTERM now is killed.
 func (set *Settings) GraceDeadline(now time.Time) time.Time {
 	return now.Add(set.seconds("packets.graceSeconds"))
