Ask about flows without their packets, and reload settings

SIGHUP ended 55 agents (code 129).

Ruled out: the readiness of the balancers (ready 15 ms after their start).

Change: questions carry the flow and the client's acknowledgement, its packets wait at the balancer; an agent whose upstream started with it, or was seen not to run, knows that nothing is missing in its record; SIGHUP and a changed file reload the settings.

--- a/core/fleet/server.go
+++ b/core/fleet/server.go
@@ -64,5 +64,9 @@
 // Draining reports whether the upstream takes no new flows.
 func (srv *Server) Draining() bool { return srv.draining }
 
+// StartedAfter reports whether the upstream is known to have started after a
+// time by its VM's clock.
+func (srv *Server) StartedAfter(when time.Time) bool { return srv.born > when.UnixMilli() }
+
 // Cold reports whether the upstream has started lately and is slow.
 func (srv *Server) Cold(now time.Time) bool { return now.Before(srv.coldTill) }
--- a/core/hop/hop.go
+++ b/core/hop/hop.go
@@ -17,7 +17,7 @@
 const (
 	Open    Kind = iota + 1 // Balancer to agent: a packet that asks to open a flow.
 	Data                    // Balancer to agent: a packet of a flow that the agent holds.
-	Seek                    // Balancer to agent: deliver the packet if the agent knows that it holds its flow, and say so.
+	Seek                    // Balancer to agent: does the agent know that it holds a flow with this acknowledgement?
 	Try                     // Balancer to agent: deliver the packet unless the agent knows that it does not hold its flow.
 	Opened                  // Agent to balancer: the upstream answered the opening packet.
 	Refused                 // Agent to balancer: the flow is not opened here.
@@ -148,7 +148,9 @@
 // WithReason returns the header with the reason of a refusal.
 func (hdr Header) WithReason(rsn Reason) Header { hdr.reason = rsn; return hdr }
 
-// WithSeq returns the header with the upstream's first sequence number.
+// WithSeq returns the header with the upstream's first sequence number, in
+// questions with the client's acknowledgement, and in heartbeats with the age of
+// the state in milliseconds.
 func (hdr Header) WithSeq(seq uint32) Header { hdr.seq = seq; return hdr }
 
 // WithLoad returns the header with the load of the sender's upstream.
@@ -185,7 +187,7 @@
 // Key returns the flow.
 func (hdr Header) Key() flow.Key { return hdr.key }
 
-// Seq returns the upstream's first sequence number.
+// Seq returns what WithSeq set.
 func (hdr Header) Seq() uint32 { return hdr.seq }
 
 // Load returns the load of the sender's upstream.
--- a/core/owner/book.go
+++ b/core/owner/book.go
@@ -87,6 +87,13 @@
 	}
 }
 
+// SetComplete notes that the upstream holds no flow from before this record.
+func (bok *Book) SetComplete() { bok.complete = true }
+
+// Complete reports whether the upstream is known to hold no flow from before
+// this record.
+func (bok *Book) Complete() bool { return bok.complete }
+
 // SetIdle sets how long a flow without packets is kept.
 func (bok *Book) SetIdle(idle time.Duration) { bok.idle = idle }
 
@@ -130,11 +137,29 @@
 	switch hdr.Kind() {
 	case hop.Open:
 		bok.open(hdr, pkt, raw, from, now)
-	case hop.Data, hop.Seek, hop.Try:
+	case hop.Data, hop.Try:
 		bok.carry(hdr, pkt, raw, from, now)
 	}
 }
 
+// Asked answers a balancer that asks whether a flow is held here.
+func (bok *Book) Asked(hdr hop.Header, from flow.End, now time.Time) {
+	rec := bok.records[hdr.Key()]
+	_, denied := bok.denied[hdr.Key()]
+	known := rec != nil && rec.phase != trying
+	switch {
+	case hdr.Service() != bok.service, known && !rec.holds(hdr.Seq()):
+		bok.tell(from, hop.New(hop.Absent, hdr.Service(), hdr.Key()), nil, now)
+	case known:
+		rec.via = from
+		bok.tell(from, hop.New(hop.Held, bok.service, hdr.Key()).WithSeq(rec.seq), nil, now)
+	case denied || bok.down || bok.reliable(now):
+		bok.tell(from, hop.New(hop.Absent, hdr.Service(), hdr.Key()), nil, now)
+	default:
+		bok.tell(from, hop.New(hop.Unsure, bok.service, hdr.Key()), nil, now)
+	}
+}
+
 // open handles a packet that asks to open a flow.
 func (bok *Book) open(hdr hop.Header, pkt flow.Packet, raw []byte, from flow.End, now time.Time) {
 	key := pkt.FromClient()
@@ -183,14 +208,10 @@
 		bok.unknown(key, hdr, pkt, raw, from, now)
 		return
 	}
-	if !rec.holds(pkt) {
+	if rec.phase == half && !pkt.Has(flow.Ack) || !rec.holds(pkt.Ack()) {
 		bok.absent(key, hdr, raw, from, now)
 		return
 	}
-	if rec.phase == trying && hdr.Kind() == hop.Seek {
-		bok.tell(from, hop.New(hop.Unsure, bok.service, key), nil, now)
-		return
-	}
 	if rec.phase == half {
 		rec.phase = open
 	}
@@ -202,15 +223,15 @@
 	bok.deliver(key, pkt, raw, now)
 }
 
-// holds reports whether a client's packet belongs to the flow as it is at this
-// upstream: while others may have answered the opening packet too, only the
-// acknowledgement tells whom the client chose.
-func (rec *record) holds(pkt flow.Packet) bool {
+// holds reports whether a client that acknowledges this much means the flow as it
+// is at this upstream: while others may have answered the opening packet too,
+// only the acknowledgement tells whom the client chose.
+func (rec *record) holds(ack uint32) bool {
 	switch rec.phase {
 	case opening:
 		return false
 	case half:
-		return pkt.Has(flow.Ack) && flow.Answers(pkt.Ack(), rec.seq, rec.sent)
+		return flow.Answers(ack, rec.seq, rec.sent)
 	default:
 		return true
 	}
@@ -225,10 +246,6 @@
 		bok.absent(key, hdr, raw, from, now)
 		return
 	}
-	if hdr.Kind() == hop.Seek {
-		bok.tell(from, hop.New(hop.Unsure, bok.service, key), nil, now)
-		return
-	}
 	rec := &record{phase: trying, via: from, data: hdr.Kind() == hop.Data, deadline: now.Add(trialTime), idleAt: now.Add(bok.idle)}
 	bok.records[key] = rec
 	bok.waiting[key] = rec
@@ -237,7 +254,7 @@
 }
 
 func (bok *Book) absent(key flow.Key, hdr hop.Header, raw []byte, from flow.End, now time.Time) {
-	if hdr.Kind() != hop.Data {
+	if hdr.Kind() == hop.Try {
 		raw = nil // The balancer kept it.
 	}
 	bok.tell(from, hop.New(hop.Absent, hdr.Service(), key), raw, now)
--- a/core/owner/watch.go
+++ b/core/owner/watch.go
@@ -82,6 +82,7 @@
 		bok.silentBy = time.Time{}
 	case NotRunning:
 		bok.down = true
+		bok.complete = true // Whatever starts there next holds nothing.
 		bok.silentBy = time.Time{}
 		bok.doom()
 	case Unclear:
--- a/core/proof/packets_scene_test.go
+++ b/core/proof/packets_scene_test.go
@@ -323,7 +323,15 @@
 		return
 	}
 	if scn.rules.anyService {
-		hdr = hop.New(hdr.Kind(), vm.book.Service(), hdr.Key())
+		hdr = hop.New(hdr.Kind(), vm.book.Service(), hdr.Key()).WithSeq(hdr.Seq())
+	}
+	if hdr.Kind() == hop.Seek {
+		if held := vm.holds[hdr.Key()]; scn.rules.ignoreAck && held != nil {
+			hdr = hdr.WithSeq(held.seq)
+		}
+		vm.book.Asked(hdr, from, scn.now)
+		scn.performAgent(at)
+		return
 	}
 	pkt := scn.packet(raw)
 	if scn.rules.ignoreAck && !pkt.Opening() {
--- a/core/track/seek.go
+++ b/core/track/seek.go
@@ -61,8 +61,8 @@
 	giveUpAt time.Time
 }
 
-// seek asks the agents who holds a flow. The packet goes along: the agent that
-// holds the flow delivers it.
+// seek asks the agents who holds a flow. Its packets wait for the answer: they
+// are many times as long as a question.
 func (tbl *Table) seek(key flow.Key, ent *entry, raw []byte, cse Cause, now time.Time) {
 	ent.phase = seeking
 	ent.holders = nil
@@ -87,11 +87,17 @@
 	sch.trying = [4]byte{}
 	for _, agt := range agts {
 		if !slices.Contains(sch.denied, agt.IP()) {
-			tbl.send(agt.IP(), hop.Seek, agt.ServiceID(), key, ent.queue[0])
+			tbl.question(agt, key, ent.ack)
 		}
 	}
 }
 
+// question asks an agent whether it holds a flow with a client's acknowledgement.
+func (tbl *Table) question(agt *fleet.Agent, key flow.Key, ack uint32) {
+	hdr := hop.New(hop.Seek, agt.ServiceID(), key).WithSeq(ack)
+	tbl.out = append(tbl.out, Action{kind: Send, agent: agt.IP(), key: key, header: hdr})
+}
+
 // advance takes the next step of a search whose step has run out of time.
 func (tbl *Table) advance(key flow.Key, ent *entry, now time.Time) {
 	agts := tbl.candidates(key, ent)
@@ -202,15 +208,18 @@
 	if ent.phase != seeking {
 		return
 	}
+	tried := ent.search.trying == from
 	delete(tbl.pending, key)
 	ent.phase = open
 	ent.id = hdr.Service()
 	ent.holders = append(ent.holders[:0], holder{ip: from, seq: hdr.Seq()})
 	tbl.notice(key, Found, from)
-	for i, raw := range ent.queue {
-		if i > 0 { // The first was delivered with the question.
-			tbl.send(from, hop.Data, ent.id, key, raw)
-		}
+	queue := ent.queue
+	if tried {
+		queue = queue[1:] // The first was delivered with the try.
+	}
+	for _, raw := range queue {
+		tbl.send(from, hop.Data, ent.id, key, raw)
 	}
 	ent.queue = nil
 }
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -25,14 +25,16 @@
 // Timing and limits of an agent.
 const (
 	probeTimeout = 200 * time.Millisecond // For the upstream's VM, which is the agent's own, to take a connection.
+	startSlack   = 250 * time.Millisecond // An upstream that started less than this before the agent got no flow from the agent's predecessor: restarting a process takes longer.
 	defaultIdle  = 15 * time.Second       // Until the desired state tells how long an idle flow is kept.
 )
 
 // agent is the process beside an upstream.
 type agent struct {
 	*base
-	outbound *mmsg.Conn
-	upstream netip.AddrPort
+	outbound  *mmsg.Conn
+	upstream  netip.AddrPort
+	startedAt time.Time
 
 	mu        sync.Mutex // Guards everything below, and post.
 	toApp     *post      // Over outbound.
@@ -59,6 +61,7 @@
 		base:      bas,
 		outbound:  con,
 		upstream:  set.Upstream(),
+		startedAt: time.Now(),
 		toApp:     newPost(con),
 		book:      owner.New(hop.ServiceID(set.Service()), defaultIdle, time.Now(), set.FirstStart()),
 		fleet:     fleet.New(),
@@ -71,6 +74,7 @@
 		return err
 	}
 	bas.sup.Add(bas.rep)
+	bas.sup.Add(newSettingsWatch(set.Path(), log, agt.adopt))
 	bas.sup.Add(&upstreamReader{agt})
 	bas.sup.Add(&balancerReader{agt})
 	bas.sup.Add(&ticker{agt.tick, agt.wake})
@@ -89,6 +93,17 @@
 	return nil
 }
 
+// adopt takes changed settings into use: the platform's address and which
+// upstream the agent stands beside.
+func (agt *agent) adopt(set *conf.Settings) {
+	agt.store.SetAddress(set.Platform())
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	agt.set = set
+	agt.upstream = set.Upstream()
+	agt.book.SetService(hop.ServiceID(set.Service()))
+}
+
 // leave tells the balancers that the agent ends. It does not linger: its
 // upstream has ended before it, or the agent is about to be started again, and
 // then every moment counts for the flows that the upstream holds.
@@ -151,6 +166,10 @@
 		agt.log.Info("own upstream", zap.String("id", srv.ID()), zap.String("service", srv.Service()), zap.Bool("draining", leaving))
 	}
 	agt.book.SetLeaving(leaving)
+	if !agt.book.Complete() && srv.StartedAfter(agt.startedAt.Add(-startSlack)) {
+		agt.book.SetComplete()
+		agt.log.Info("record is complete: the upstream started with this agent", zap.String("id", srv.ID()))
+	}
 }
 
 // upstreamReader reads packets that the upstream sends.
@@ -225,6 +244,11 @@
 		agt.post.framed(agt.beatOut(now), nil, from)
 		return
 	}
+	if hdr.Kind() == hop.Seek {
+		agt.book.Asked(hdr, flow.EndOf(from), now)
+		agt.perform(now)
+		return
+	}
 	pkt, ok := platform.ParsePacket(tail)
 	if !ok {
 		agt.meter.malformed.Inc(1)
@@ -263,7 +287,7 @@
 			agt.log.Info("reset", zap.Stringer("flow", act.Key()), zap.String("cause", "upstreamEndedFlow"), zap.Bool("upstreamDown", agt.book.Down()))
 		case owner.Probe:
 			agt.meter.probes.Inc(1)
-			go agt.probe()
+			go agt.probe(agt.upstream)
 		}
 	}
 }
@@ -273,8 +297,8 @@
 }
 
 // probe finds out whether anything listens at the upstream's address.
-func (agt *agent) probe() {
-	con, err := net.DialTimeout("tcp4", agt.upstream.String(), probeTimeout)
+func (agt *agent) probe(upstream netip.AddrPort) {
+	con, err := net.DialTimeout("tcp4", upstream.String(), probeTimeout)
 	var evd owner.Evidence
 	switch {
 	case err == nil:
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -74,6 +74,7 @@
 		return err
 	}
 	bas.sup.Add(bas.rep)
+	bas.sup.Add(newSettingsWatch(set.Path(), log, blc.adopt))
 	bas.sup.Add(&clientReader{blc})
 	bas.sup.Add(&agentReader{blc})
 	bas.sup.Add(&ticker{blc.tick, blc.wake})
@@ -90,6 +91,14 @@
 	return nil
 }
 
+// adopt takes changed settings into use: the platform's address and the seeds.
+func (blc *balancer) adopt(set *conf.Settings) {
+	blc.store.SetAddress(set.Platform())
+	blc.mu.Lock()
+	defer blc.mu.Unlock()
+	blc.set = set
+}
+
 // leave forwards until the routers send nothing any more.
 func (blc *balancer) leave(deadline time.Time) {
 	begun := time.Now()
--- a/io/carry/base.go
+++ b/io/carry/base.go
@@ -41,6 +41,7 @@
 	set         *conf.Settings
 	log         *zap.Logger
 	scope       *stats.Scope
+	store       *platform.Store
 	rep         *gossip.Replica
 	peers       *mmsg.Conn
 	post        *post // Over peers.
@@ -68,8 +69,8 @@
 		incarnation: rand.Uint64() | 1,
 		sup:         suture.New(set.Name(), suture.Spec{EventHook: func(evt suture.Event) { log.Warn("supervisor", zap.String("event", evt.String())) }}),
 	}
-	sto := platform.NewStore(set.Platform())
-	bas.rep = gossip.New(sto, platform.HistoryLost, self.Addr().As4(), balancer, log)
+	bas.store = platform.NewStore(set.Platform())
+	bas.rep = gossip.New(bas.store, platform.HistoryLost, self.Addr().As4(), balancer, log)
 	return bas, nil
 }
 
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -15,7 +15,10 @@
 )
 
 // Settings are the checked settings of one process. It is immutable.
-type Settings struct{ values map[string]string }
+type Settings struct {
+	path   string
+	values map[string]string
+}
 
 // setting declares one value of the settings file.
 type setting struct {
@@ -78,7 +81,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return Parse(path, raw)
+	set, err := Parse(path, raw)
+	if err != nil {
+		return nil, err
+	}
+	set.path = path
+	return set, nil
 }
 
 // Parse reads settings from a text. The error is a *text.Faults.
@@ -166,6 +174,9 @@
 	return ap
 }
 
+// Path returns the file that the settings were read from, empty when none.
+func (set *Settings) Path() string { return set.path }
+
 // Name returns the name of the process.
 func (set *Settings) Name() string { return set.get("process.name") }
 
