Hold the searches for flows to a share of the link

Cause: after all machines of the grown site lost power, balancers with 10 Mbit/s sent up to 20,000 questions a second (traced by debug lines): every unknown flow asked every agent every 100 ms, the link was full, no answer came back, and each opening that went unanswered asked up to 40 agents more. The overload kept itself up for 16 s.

Ruled out: processor time (0.05 cores at most), agents (the balancers with wide links got all their answers at the same time).

Change: questions to one agent share datagrams and keep to a tenth of the link; rounds of a search back off; two agents are asked for each copy of an opening; the time to wait is estimated from answers, as TCP does.

--- a/core/hop/hop.go
+++ b/core/hop/hop.go
@@ -15,21 +15,22 @@
 
 // The kinds of datagrams.
 const (
-	Open    Kind = iota + 1 // Balancer to agent: a packet that asks to open a flow.
-	Data                    // Balancer to agent: a packet of a flow that the agent holds.
-	Seek                    // Balancer to agent: does the agent know that it holds a flow with this acknowledgement?
-	Try                     // Balancer to agent: deliver the packet unless the agent knows that it does not hold its flow.
-	Opened                  // Agent to balancer: the upstream answered the opening packet.
-	Refused                 // Agent to balancer: the flow is not opened here.
-	Held                    // Agent to balancer: the flow is held here.
-	Absent                  // Agent to balancer: the flow is not held here; the packet may follow.
-	Unsure                  // Agent to balancer: the agent's memory does not reach back far enough to tell.
-	Gone                    // Agent to balancer: the flow has ended.
-	Beat                    // Both ways: the sender lives.
+	Open     Kind = iota + 1 // Balancer to agent: a packet that asks to open a flow.
+	Data                     // Balancer to agent: a packet of a flow that the agent holds.
+	Seek                     // Balancer to agent: a list of flows, each with its client's acknowledgement; which does the agent hold?
+	Try                      // Balancer to agent: deliver the packet unless the agent knows that it does not hold its flow.
+	Opened                   // Agent to balancer: the upstream answered the opening packet.
+	Refused                  // Agent to balancer: the flow is not opened here.
+	Held                     // Agent to balancer: the flow is held here.
+	Absent                   // Agent to balancer: the flow is not held here; the packet may follow.
+	Unsure                   // Agent to balancer: the agent's memory does not reach back far enough to tell.
+	Verdicts                 // Agent to balancer: the answers to a list of questions.
+	Gone                     // Agent to balancer: the flow has ended.
+	Beat                     // Both ways: the sender lives.
 	kindEnd
 )
 
-var kindNames = [...]string{"", "open", "data", "seek", "try", "opened", "refused", "held", "absent", "unsure", "gone", "beat"}
+var kindNames = [...]string{"", "open", "data", "seek", "try", "opened", "refused", "held", "absent", "unsure", "verdicts", "gone", "beat"}
 
 // String returns the kind's name in logs and metrics.
 func (knd Kind) String() string { return kindNames[knd] }
@@ -149,8 +150,7 @@
 func (hdr Header) WithReason(rsn Reason) Header { hdr.reason = rsn; return hdr }
 
 // WithSeq returns the header with the upstream's first sequence number, in
-// questions with the client's acknowledgement, and in heartbeats with the age of
-// the state in milliseconds.
+// heartbeats with the age of the state in milliseconds.
 func (hdr Header) WithSeq(seq uint32) Header { hdr.seq = seq; return hdr }
 
 // WithLoad returns the header with the load of the sender's upstream.
--- a/core/owner/book.go
+++ b/core/owner/book.go
@@ -142,21 +142,31 @@
 	}
 }
 
-// Asked answers a balancer that asks whether a flow is held here.
-func (bok *Book) Asked(hdr hop.Header, from flow.End, now time.Time) {
-	rec := bok.records[hdr.Key()]
-	_, denied := bok.denied[hdr.Key()]
+// Asked answers a balancer that asks which of a list of flows are held here.
+func (bok *Book) Asked(hdr hop.Header, list []byte, from flow.End, now time.Time) {
+	var verdicts []byte
+	hop.EachQuestion(list, func(key flow.Key, ack uint32) {
+		knd, seq := hop.Absent, uint32(0)
+		if hdr.Service() == bok.service {
+			knd, seq = bok.verdict(key, ack, from, now)
+		}
+		verdicts = hop.AppendVerdict(verdicts, key, knd, seq)
+	})
+	bok.tell(from, hop.New(hop.Verdicts, hdr.Service(), flow.Key{}), verdicts, now)
+}
+
+func (bok *Book) verdict(key flow.Key, ack uint32, from flow.End, now time.Time) (hop.Kind, uint32) {
+	rec := bok.records[key]
+	_, denied := bok.denied[key]
 	known := rec != nil && rec.phase != trying
 	switch {
-	case hdr.Service() != bok.service, known && !rec.holds(hdr.Seq()):
-		bok.tell(from, hop.New(hop.Absent, hdr.Service(), hdr.Key()), nil, now)
-	case known:
+	case known && rec.holds(ack):
 		rec.via = from
-		bok.tell(from, hop.New(hop.Held, bok.service, hdr.Key()).WithSeq(rec.seq), nil, now)
-	case denied || bok.down || bok.reliable(now):
-		bok.tell(from, hop.New(hop.Absent, hdr.Service(), hdr.Key()), nil, now)
+		return hop.Held, rec.seq
+	case known, denied, bok.down, bok.reliable(now):
+		return hop.Absent, 0
 	default:
-		bok.tell(from, hop.New(hop.Unsure, bok.service, hdr.Key()), nil, now)
+		return hop.Unsure, 0
 	}
 }
 
--- a/core/proof/packets_scene_test.go
+++ b/core/proof/packets_scene_test.go
@@ -28,6 +28,7 @@
 	drainBound     = 3 * time.Second
 	restartTime    = 400 * time.Millisecond
 	sceneIdle      = 15 * time.Second
+	sceneLink      = 125e6 // Bytes a second.
 )
 
 var sceneServices = [2]string{"plaque-feed", "photo-upload"}
@@ -296,12 +297,13 @@
 			blc.fleet.List(fleet.NewServer(scn.listing(vm), scn.now), scn.now)
 		}
 	}
-	blc.table = track.New("z", blc.board, blc.fleet)
+	blc.table = track.New("z", sceneLink, blc.board, blc.fleet)
 	scn.balancers[at] = blc
 }
 
 // performBalancer carries out what a balancer decided.
 func (scn *scene) performBalancer(at int) {
+	scn.balancers[at].table.Ask(scn.now)
 	for _, act := range scn.balancers[at].table.Take() {
 		switch act.Kind() {
 		case track.Send:
@@ -326,10 +328,7 @@
 		hdr = hop.New(hdr.Kind(), vm.book.Service(), hdr.Key()).WithSeq(hdr.Seq())
 	}
 	if hdr.Kind() == hop.Seek {
-		if held := vm.holds[hdr.Key()]; scn.rules.ignoreAck && held != nil {
-			hdr = hdr.WithSeq(held.seq)
-		}
-		vm.book.Asked(hdr, from, scn.now)
+		vm.book.Asked(hdr, scn.questions(vm, raw), from, scn.now)
 		scn.performAgent(at)
 		return
 	}
@@ -343,6 +342,21 @@
 	scn.performAgent(at)
 }
 
+// questions returns a list of questions as an agent reads it.
+func (scn *scene) questions(vm *sceneVM, list []byte) []byte {
+	if !scn.rules.ignoreAck {
+		return list
+	}
+	var broken []byte
+	hop.EachQuestion(list, func(key flow.Key, ack uint32) {
+		if held := vm.holds[key]; held != nil {
+			ack = held.seq
+		}
+		broken = hop.AppendQuestion(broken, key, ack)
+	})
+	return broken
+}
+
 func (scn *scene) toBalancer(at int, hdr hop.Header, raw []byte, from [4]byte) {
 	blc := scn.balancers[at]
 	if agt := blc.fleet.Agent(from); agt != nil {
@@ -362,7 +376,12 @@
 		raw := append([]byte(nil), act.Packet()...)
 		switch act.Kind() {
 		case owner.Deliver:
-			scn.after(100*time.Microsecond, func() { scn.atUpstream(at, raw) })
+			life := vm.life
+			scn.after(100*time.Microsecond, func() {
+				if vm.life == life { // An address is another's only seconds later.
+					scn.atUpstream(at, raw)
+				}
+			})
 		case owner.ToClient:
 			scn.send(func() { scn.atClient(scn.packet(raw)) })
 		case owner.Reset:
--- a/core/track/opener.go
+++ b/core/track/opener.go
@@ -41,25 +41,44 @@
 	}
 	tbl.pending[key] = ent
 	tbl.notice(key, RepeatedOpen, [4]byte{})
+	ent.copyTries = 0
 	tbl.next(key, ent, now)
 }
 
-// next asks the next agent to open a flow.
+// next asks the next agent to open a flow. A few agents that kept silent are
+// enough for one copy: the client sends another one.
 func (tbl *Table) next(key flow.Key, ent *entry, now time.Time) {
+	if ent.copyTries >= triesACopy && ent.silent {
+		delete(tbl.pending, key)
+		return
+	}
 	agt := tbl.choose(ent, now)
 	if agt == nil {
 		tbl.exhausted(key, ent, now)
 		return
 	}
-	ent.tried = append(ent.tried, agt.IP())
-	ent.deadline = now.Add(openTimeout)
+	ent.tries = append(ent.tries, attempt{ip: agt.IP(), sentAt: now})
+	ent.copyTries++
+	ent.deadline = now.Add(tbl.answers.limit())
 	agt.NoteOpening()
 	tbl.send(agt.IP(), hop.Open, ent.id, key, ent.opener)
 }
 
 func (tbl *Table) choose(ent *entry, now time.Time) *fleet.Agent {
-	tried := func(ip [4]byte) bool { return slices.Contains(ent.tried, ip) }
-	return place.Choose(tbl.fleet.Service(ent.service), tried, ent.hash, tbl.zone, now)
+	return place.Choose(tbl.fleet.Service(ent.service), ent.tried, ent.hash, tbl.zone, now)
+}
+
+func (ent *entry) tried(ip [4]byte) bool {
+	return slices.ContainsFunc(ent.tries, func(atp attempt) bool { return atp.ip == ip })
+}
+
+// noteAnswer takes the time that an agent took as evidence on all of them.
+func (tbl *Table) noteAnswer(ent *entry, from [4]byte, now time.Time) {
+	for _, atp := range ent.tries {
+		if atp.ip == from {
+			tbl.answers.note(now.Sub(atp.sentAt))
+		}
+	}
 }
 
 // exhausted handles an opening that no agent is left for. When all of them said
@@ -68,12 +87,12 @@
 func (tbl *Table) exhausted(key flow.Key, ent *entry, now time.Time) {
 	delete(tbl.pending, key)
 	if ent.silent {
-		ent.tried = ent.tried[:0]
+		ent.tries = ent.tries[:0]
 		ent.silent = false
 		return
 	}
 	cse := AllRefused
-	if len(ent.tried) == 0 {
+	if len(ent.tries) == 0 {
 		cse = NoUpstream
 	}
 	tbl.remove(key)
@@ -82,21 +101,23 @@
 
 // unanswered handles an opening that an agent kept silent on.
 func (tbl *Table) unanswered(key flow.Key, ent *entry, now time.Time) {
-	if len(ent.holders) > 0 || len(ent.tried) == 0 {
+	if len(ent.holders) > 0 || len(ent.tries) == 0 {
 		delete(tbl.pending, key)
 		return
 	}
-	last := ent.tried[len(ent.tried)-1]
+	last := ent.tries[len(ent.tries)-1].ip
 	if agt := tbl.fleet.Agent(last); agt != nil {
 		agt.NoteMiss(now)
 	}
 	ent.silent = true
+	tbl.answers.missed()
 	tbl.notice(key, Unanswered, last)
 	tbl.next(key, ent, now)
 }
 
 // opened handles an agent's word that its upstream answered an opening.
-func (tbl *Table) opened(key flow.Key, ent *entry, hdr hop.Header, from [4]byte) {
+func (tbl *Table) opened(key flow.Key, ent *entry, hdr hop.Header, from [4]byte, now time.Time) {
+	tbl.noteAnswer(ent, from, now)
 	if ent.phase != opening && ent.phase != open {
 		return
 	}
@@ -113,10 +134,11 @@
 
 // refused handles an agent's word that it does not open a flow.
 func (tbl *Table) refused(key flow.Key, ent *entry, hdr hop.Header, from [4]byte, now time.Time) {
+	tbl.noteAnswer(ent, from, now)
 	if hdr.Reason() == hop.Silent {
 		ent.silent = true
 	}
-	current := len(ent.tried) > 0 && ent.tried[len(ent.tried)-1] == from
+	current := len(ent.tries) > 0 && ent.tries[len(ent.tries)-1].ip == from
 	if ent.phase != opening || len(ent.holders) > 0 || !current {
 		return
 	}
--- a/core/track/seek.go
+++ b/core/track/seek.go
@@ -11,18 +11,29 @@
 	"lagoondrum/core/place"
 )
 
+// maxDoublings bounds the time between two rounds of a search: 0.8 s.
+const maxDoublings = 3
+
 // FromAgent handles what an agent tells about a flow. The packet behind the
 // header, if any, is one that the agent did not deliver.
 func (tbl *Table) FromAgent(hdr hop.Header, raw []byte, from [4]byte, now time.Time) {
-	key := hdr.Key()
+	if hdr.Kind() == hop.Verdicts {
+		hdr.EachVerdict(raw, func(one hop.Header) { tbl.fromAgent(one, nil, from, now) })
+		return
+	}
 	tbl.judge(hdr, from, now)
+	tbl.fromAgent(hdr, raw, from, now)
+}
+
+func (tbl *Table) fromAgent(hdr hop.Header, raw []byte, from [4]byte, now time.Time) {
+	key := hdr.Key()
 	ent := tbl.find(key)
 	if ent == nil {
 		return
 	}
 	switch hdr.Kind() {
 	case hop.Opened:
-		tbl.opened(key, ent, hdr, from)
+		tbl.opened(key, ent, hdr, from, now)
 	case hop.Refused:
 		tbl.refused(key, ent, hdr, from, now)
 	case hop.Held:
@@ -77,7 +88,7 @@
 // ask asks those agents that have not denied the flow yet.
 func (tbl *Table) ask(key flow.Key, ent *entry, agts []*fleet.Agent, now time.Time) {
 	sch := &ent.search
-	ent.deadline = now.Add(askTime)
+	ent.deadline = now.Add(tbl.answers.limit())
 	if sch.waves == 0 && len(agts) > firstWave {
 		agts = agts[:firstWave]
 	}
@@ -87,17 +98,11 @@
 	sch.trying = [4]byte{}
 	for _, agt := range agts {
 		if !slices.Contains(sch.denied, agt.IP()) {
-			tbl.question(agt, key, ent.ack)
+			tbl.inquiry.add(agt, key, ent.ack)
 		}
 	}
 }
 
-// question asks an agent whether it holds a flow with a client's acknowledgement.
-func (tbl *Table) question(agt *fleet.Agent, key flow.Key, ack uint32) {
-	hdr := hop.New(hop.Seek, agt.ServiceID(), key).WithSeq(ack)
-	tbl.out = append(tbl.out, Action{kind: Send, agent: agt.IP(), key: key, header: hdr})
-}
-
 // advance takes the next step of a search whose step has run out of time.
 func (tbl *Table) advance(key flow.Key, ent *entry, now time.Time) {
 	agts := tbl.candidates(key, ent)
@@ -109,7 +114,7 @@
 	case tbl.tryNext(key, ent, now):
 	case ent.search.answered || len(ent.search.unsure) == 0:
 		tbl.ask(key, ent, agts, now)
-		ent.deadline = now.Add(seekWave)
+		ent.deadline = now.Add(max(seekWave<<min(ent.search.waves, maxDoublings), tbl.answers.limit()))
 	}
 }
 
@@ -127,7 +132,7 @@
 			continue
 		}
 		sch.trying = ip
-		ent.deadline = now.Add(tryTime)
+		ent.deadline = now.Add(tbl.answers.limit())
 		tbl.send(ip, hop.Try, agt.ServiceID(), key, ent.queue[0])
 		return true
 	}
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -15,17 +15,15 @@
 
 // Limits of the table.
 const (
-	openTimeout = 60 * time.Millisecond  // For an agent to tell what became of an opening: the agent's own limit and the way.
-	askTime     = 30 * time.Millisecond  // For agents to tell what they know of a flow; they are some milliseconds away.
-	tryTime     = 60 * time.Millisecond  // For an agent to tell what became of a packet that it tried; see openTimeout.
-	seekWave    = 100 * time.Millisecond // Between two rounds of asking the agents about a flow.
-	seekTime    = 2500 * time.Millisecond
-	goneTime    = 5 * time.Second  // A flow that ended is remembered for late packets.
-	turnEvery   = 20 * time.Second // Hints without packets for one to two of these are forgotten.
-	maxHints    = 200_000          // Hints of one turn: 30 MB at most.
-	maxQueue    = 24               // Packets that wait while a flow is sought; a client has 16 under way.
-	maxSeeking  = 4096             // Flows that are sought at once.
-	firstWave   = 16               // Agents asked first; all of a small service.
+	seekWave   = 100 * time.Millisecond // Between two rounds of asking the agents about a flow.
+	seekTime   = 2500 * time.Millisecond
+	goneTime   = 5 * time.Second  // A flow that ended is remembered for late packets.
+	turnEvery  = 20 * time.Second // Hints without packets for one to two of these are forgotten.
+	maxHints   = 200_000          // Hints of one turn: 30 MB at most.
+	maxQueue   = 24               // Packets that wait while a flow is sought; a client has 16 under way.
+	maxSeeking = 4096             // Flows that are sought at once.
+	firstWave  = 16               // Agents asked first; all of a small service.
+	triesACopy = 2                // Agents that are asked to open a flow for each copy of its opening.
 )
 
 type phase uint8
@@ -37,6 +35,12 @@
 	gone
 )
 
+// attempt is a question to an agent to open a flow.
+type attempt struct {
+	ip     [4]byte
+	sentAt time.Time
+}
+
 // holder is an agent that says that it holds a flow.
 type holder struct {
 	ip  [4]byte
@@ -45,20 +49,21 @@
 
 // entry is what the balancer remembers of one flow.
 type entry struct {
-	phase    phase
-	silent   bool // An agent left the opening unanswered, or said so of its upstream.
-	hash     uint64
-	service  string // Empty until it is known.
-	id       uint64 // The service's number in headers.
-	first    uint32 // The client's first sequence number.
-	ack      uint32
-	opener   []byte
-	tried    [][4]byte
-	holders  []holder
-	queue    [][]byte
-	search   search
-	deadline time.Time // Of the step under way.
-	goneTill time.Time // Until then a flow that has ended is remembered.
+	phase     phase
+	silent    bool // An agent left the opening unanswered, or said so of its upstream.
+	hash      uint64
+	service   string // Empty until it is known.
+	id        uint64 // The service's number in headers.
+	first     uint32 // The client's first sequence number.
+	ack       uint32
+	opener    []byte
+	tries     []attempt
+	copyTries int // Agents asked since the client's last copy.
+	holders   []holder
+	queue     [][]byte
+	search    search
+	deadline  time.Time // Of the step under way.
+	goneTill  time.Time // Until then a flow that has ended is remembered.
 }
 
 // Table is what one balancer remembers of flows.
@@ -70,11 +75,14 @@
 	older   map[flow.Key]*entry
 	pending map[flow.Key]*entry // Opening or seeking.
 	turnAt  time.Time
+	answers answerTime
+	inquiry inquiry
 	out     []Action
 }
 
-// New returns an empty table of a balancer in an availability zone.
-func New(zone string, brd *intent.Board, flt *fleet.Fleet) *Table {
+// New returns an empty table of a balancer in an availability zone, whose link
+// carries so many bytes a second.
+func New(zone string, linkBytes float64, brd *intent.Board, flt *fleet.Fleet) *Table {
 	return &Table{
 		zone:    zone,
 		board:   brd,
@@ -82,6 +90,7 @@
 		recent:  make(map[flow.Key]*entry),
 		older:   make(map[flow.Key]*entry),
 		pending: make(map[flow.Key]*entry),
+		inquiry: newInquiry(linkBytes),
 	}
 }
 
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -245,7 +245,7 @@
 		return
 	}
 	if hdr.Kind() == hop.Seek {
-		agt.book.Asked(hdr, flow.EndOf(from), now)
+		agt.book.Asked(hdr, tail, flow.EndOf(from), now)
 		agt.perform(now)
 		return
 	}
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -68,7 +68,7 @@
 		meter:   newBalancerMeter(bas.scope),
 		wake:    make(chan struct{}, 1),
 	}
-	blc.table = track.New(set.Place().Zone(), blc.board, blc.fleet)
+	blc.table = track.New(set.Place().Zone(), set.LinkBytes(), blc.board, blc.fleet)
 	bas.rep.OnChange(blc.changed)
 	if err := bas.serveHTTP(); err != nil {
 		return err
@@ -208,7 +208,7 @@
 		blc.table.FromClient(pkt, box.Data(i), now)
 		blc.perform(now)
 	}
-	blc.flush()
+	blc.flush(now)
 }
 
 // agentReader reads datagrams of agents and other balancers.
@@ -245,7 +245,7 @@
 		blc.table.FromAgent(hdr, box.Data(i)[hop.HeaderBytes:], from.Addr().As4(), now)
 		blc.perform(now)
 	}
-	blc.flush()
+	blc.flush(now)
 }
 
 func (blc *balancer) noteAgent(hdr hop.Header, from netip.AddrPort, now time.Time) {
@@ -280,7 +280,9 @@
 		zap.Uint64("version", blc.board.State().Version()), zap.Duration("stateAge", now.Sub(blc.rep.ConfirmedAt())))
 }
 
-func (blc *balancer) flush() {
+func (blc *balancer) flush(now time.Time) {
+	blc.table.Ask(now)
+	blc.perform(now)
 	blc.post.flush()
 	blc.toUser.flush()
 	if blc.table.Busy() {
@@ -296,7 +298,7 @@
 	blc.table.Tick(now)
 	blc.perform(now)
 	blc.beats(now)
-	blc.flush()
+	blc.flush(now)
 	if blc.table.Busy() {
 		return now.Add(busyTick)
 	}
--- a/io/conf/check.go
+++ b/io/conf/check.go
@@ -96,3 +96,10 @@
 	}
 	return ""
 }
+
+func isMbps(value string) string {
+	if mbps, err := strconv.ParseFloat(value, 64); err != nil || !(mbps > 0) {
+		return "not a number above 0"
+	}
+	return ""
+}
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -57,6 +57,7 @@
 	{"packets", "outbound", "127.0.0.1:7851", "ip:port", "where an agent gets the packets that its upstream sends", isAddrPort},
 	{"packets", "ready", "127.0.0.1:7852", "ip:port", "where the platform asks whether the process is ready", isAddrPort},
 	{"packets", "metrics", "127.0.0.1:7853", "ip:port", "where metrics are served", isAddrPort},
+	{"packets", "linkMbps", "1000", "Mbit/s", "bandwidth of the VM's link", isMbps},
 	{"packets", "graceSeconds", "6", "s", "time between SIGTERM and SIGKILL", isSeconds},
 	{"drain", "seconds", "3600", "s", "longest time between SIGTERM and the end of the process", isSeconds},
 	{"log", "level", "info", "", "lowest level that is logged: debug, info, warn or error", isLevel},
@@ -221,6 +222,12 @@
 // MetricsAddress returns where metrics are served.
 func (set *Settings) MetricsAddress() netip.AddrPort { return set.addrPort("packets.metrics") }
 
+// LinkBytes returns how many bytes a second the VM's link carries.
+func (set *Settings) LinkBytes() float64 {
+	mbps, _ := strconv.ParseFloat(set.get("packets.linkMbps"), 64) // Checked when it was read.
+	return mbps * 1e6 / 8
+}
+
 // GraceDeadline returns when a process that gets SIGTERM now is killed.
 func (set *Settings) GraceDeadline(now time.Time) time.Time {
 	return now.Add(set.seconds("packets.graceSeconds"))
