--- /dev/null
+++ b/core/intent/intent_test.go
@@ -0,0 +1,50 @@
+package intent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lagoondrum/core/flow"
+)
+
+var (
+	start   = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	address = flow.NewEnd([4]byte{198, 18, 0, 1}, 443)
+)
+
+func state(version uint64, services ...string) *State {
+	routes := map[flow.End]*Route{}
+	for _, name := range services {
+		routes[address] = NewRoute("r", []Share{NewShare(name, 1)})
+	}
+	return NewState(version, routes, time.Second)
+}
+
+func TestVersionsNeverFall(t *testing.T) {
+	brd := NewBoard()
+	assert.Assert(t, brd.Adopt(state(5, "feed"), start))
+	assert.Assert(t, !brd.Adopt(state(4, "upload"), start))
+	assert.Assert(t, !brd.Adopt(state(5, "upload"), start))
+	assert.Equal(t, brd.State().Route(address).Pick(0), "feed")
+}
+
+func TestHoldersRememberFormerServices(t *testing.T) {
+	brd := NewBoard()
+	brd.Adopt(state(1, "feed"), start)
+	brd.Adopt(state(2, "upload"), start)
+	assert.DeepEqual(t, brd.Holders(address), []string{"upload", "feed"})
+	brd.Adopt(state(3, "upload"), start.Add(keepFormer))
+	assert.Equal(t, len(brd.Holders(address)), 1)
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	rte := NewRoute("r", []Share{NewShare("a", 90), NewShare("b", 10), NewShare("c", 0)})
+	got := map[string]int{}
+	for hash := range uint64(1000) {
+		got[rte.Pick(hash)]++
+	}
+	assert.DeepEqual(t, got, map[string]int{"a": 900, "b": 100})
+	assert.Equal(t, NewRoute("r", nil).Pick(1), "")
+}
--- /dev/null
+++ b/core/mirror/mirror_test.go
@@ -0,0 +1,104 @@
+package mirror
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func keysOf(items []Item) []string {
+	keys := []string{}
+	for _, itm := range items {
+		keys = append(keys, itm.Key())
+	}
+	return keys
+}
+
+func TestUpdate(t *testing.T) {
+	mir := New()
+	news := mir.Replace(5, []Item{NewItem("a", []byte("1"), 3), NewItem("b", []byte("1"), 5)})
+	assert.DeepEqual(t, keysOf(news), []string{"a", "b"})
+
+	t.Run("a repeat tells nothing", func(t *testing.T) {
+		news, ok := mir.Update(3, 5, []Item{NewItem("b", []byte("1"), 5)})
+		assert.Assert(t, ok)
+		assert.Equal(t, len(news), 0)
+	})
+	t.Run("a gap is refused", func(t *testing.T) {
+		_, ok := mir.Update(6, 9, []Item{NewItem("c", nil, 9)})
+		assert.Assert(t, !ok)
+		assert.Equal(t, mir.Revision(), uint64(5))
+	})
+	t.Run("an older state changes nothing", func(t *testing.T) {
+		assert.Equal(t, len(mir.Replace(4, nil)), 0)
+		assert.Equal(t, mir.Revision(), uint64(5))
+	})
+	t.Run("what a later state lacks is deleted", func(t *testing.T) {
+		news := mir.Replace(8, []Item{NewItem("b", []byte("1"), 5)})
+		assert.DeepEqual(t, keysOf(news), []string{"a"})
+		assert.Assert(t, news[0].Deleted())
+	})
+	t.Run("a peer that lags gets changes with their deletions", func(t *testing.T) {
+		changes, whole := mir.Since(5)
+		assert.Assert(t, !whole)
+		assert.DeepEqual(t, keysOf(changes), []string{"a"})
+	})
+}
+
+func TestForgottenDeletionsAskForTheWholeState(t *testing.T) {
+	mir := New()
+	for rev := uint64(1); rev <= 2*maxDeletions; rev++ {
+		mir.Update(rev-1, rev, []Item{NewDeletion(string(rune(rev)), rev)})
+	}
+	_, whole := mir.Since(1)
+	assert.Assert(t, whole)
+	_, whole = mir.Since(mir.Revision() - 1)
+	assert.Assert(t, !whole)
+	assert.Assert(t, len(mir.items) <= maxDeletions+1)
+}
+
+func TestFewBalancersRead(t *testing.T) {
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	const fleet = 20
+	ip := func(num int) [4]byte { return [4]byte{10, 0, 0, byte(num)} }
+	readers := func(able func(num int) bool) int {
+		count := 0
+		for self := range fleet {
+			dty := NewDuty(ip(self), true)
+			dty.NoteConfirmed(now)
+			for num := range fleet {
+				if num != self {
+					dty.NotePeer(ip(num), able(num), now)
+				}
+			}
+			if dty.Reads(now) {
+				count++
+			}
+		}
+		return count
+	}
+	assert.Equal(t, readers(func(int) bool { return true }), Readers)
+	assert.Assert(t, readers(func(int) bool { return false }) == fleet, "nobody who is able is known")
+}
+
+func TestStaleStateMakesAProcessRead(t *testing.T) {
+	now := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	for name, tc := range map[string]struct {
+		balancer bool
+		age      time.Duration
+		want     bool
+	}{
+		"agent, fresh": {false, staleTime, false},
+		"agent, stale": {false, staleTime + 2*takeoverSteps*takeoverStep, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dty := NewDuty([4]byte{10, 0, 0, 1}, tc.balancer)
+			dty.NoteConfirmed(now.Add(-tc.age))
+			assert.Equal(t, dty.Reads(now), tc.want)
+		})
+	}
+	t.Run("at the start", func(t *testing.T) {
+		assert.Assert(t, NewDuty([4]byte{10, 0, 0, 1}, false).Reads(now))
+	})
+}
--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,89 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lagoondrum/core/fleet"
+	"lagoondrum/core/flow"
+	"lagoondrum/core/hop"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func noneTried([4]byte) bool { return false }
+
+// newFleet lists upstreams in zones, by their number.
+func newFleet(zones ...string) *fleet.Fleet {
+	flt := fleet.New()
+	for num, zone := range zones {
+		flt.List(fleet.NewServer(fleet.Listing{ID: fmt.Sprint(num), Service: "feed", Address: [4]byte{10, 0, 0, byte(num)}, Zone: zone, Slots: 4}, start), start)
+	}
+	return flt
+}
+
+func hear(flt *fleet.Fleet, num, requests int) {
+	flt.Agent([4]byte{10, 0, 0, byte(num)}).NoteHeard(hop.NewBeat(1, 1, 1).WithLoad(hop.NewLoad(16*requests, 0)), start)
+}
+
+func choose(flt *fleet.Fleet, hash uint64, tried func([4]byte) bool) *fleet.Agent {
+	return Choose(flt.Service("feed"), tried, hash, "near", start)
+}
+
+func TestChoose(t *testing.T) {
+	for name, tc := range map[string]struct {
+		spoil func(flt *fleet.Fleet)
+		want  byte
+	}{
+		"the near one when all are idle":           {func(*fleet.Fleet) {}, 0},
+		"another zone when the near one is busy":   {func(flt *fleet.Fleet) { hear(flt, 0, 3) }, 1},
+		"not one that openings went unanswered at": {func(flt *fleet.Fleet) { flt.Agent([4]byte{10, 0, 0, 0}).NoteMiss(start) }, 1},
+		"not one whose upstream is down": {func(flt *fleet.Fleet) {
+			flt.Agent([4]byte{10, 0, 0, 0}).NoteHeard(hop.NewBeat(1, 1, 1).WithDown(), start)
+		}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			flt := newFleet("near", "far")
+			tc.spoil(flt)
+			for hash := range uint64(20) {
+				assert.Equal(t, choose(flt, hash, noneTried).IP()[3], tc.want)
+			}
+		})
+	}
+}
+
+func TestEvidenceAloneNeverEmptiesAService(t *testing.T) {
+	flt := newFleet("near")
+	flt.Agent([4]byte{10, 0, 0, 0}).NoteMiss(start)
+	assert.Assert(t, choose(flt, 1, noneTried) != nil)
+	assert.Assert(t, choose(flt, 1, func([4]byte) bool { return true }) == nil)
+}
+
+// A burst reaches the balancer before any load word: its own openings count.
+func TestBurstIsSpread(t *testing.T) {
+	flt := newFleet("near", "near", "near", "near")
+	got := make(map[byte]int)
+	for num := range 400 {
+		agt := choose(flt, Hash(flow.NewKey(flow.NewEnd([4]byte{100, 64, 0, 1}, uint16(num)), flow.End{})), noneTried)
+		agt.NoteOpening()
+		got[agt.IP()[3]]++
+	}
+	for vm, count := range got {
+		assert.Assert(t, count >= 95 && count <= 105, "upstream %d got %d of 400", vm, count)
+	}
+}
+
+func TestLargeServiceOffersEveryAgentInTheEnd(t *testing.T) {
+	zones := make([]string, 40)
+	flt := newFleet(zones...)
+	tried := make(map[[4]byte]bool)
+	for range zones {
+		agt := choose(flt, 7, func(ip [4]byte) bool { return tried[ip] })
+		assert.Assert(t, agt != nil)
+		tried[agt.IP()] = true
+	}
+	assert.Equal(t, len(tried), len(zones))
+}
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -158,6 +158,7 @@
 		tbl.settle(key, ent, pkt, raw, now)
 	case seeking:
 		ent.enqueue(raw)
+		tbl.concluded(key, ent, tbl.candidates(key, ent), now) // An agent may have been silent for long enough by now.
 	case gone:
 		if now.Before(ent.goneTill) {
 			tbl.reset(key, pkt, FlowGone)
