Log every decision on a flow without blocking, and measure it

Cause: on-call engineers have only logs and metrics; a full pipe would have blocked the packet path, and all decisions shared one message and so one sample.

Change: io/logs writes through a bounded queue, samples each message on its own and counts what it drops. Balancers log the agent that is asked, with the load that decided it and its age, what it answered and how long that took; agents log what they tell. Gauges for ages, revisions, calls, flows; histograms of openings by service.

--- a/core/track/action.go
+++ b/core/track/action.go
@@ -1,6 +1,8 @@
 package track
 
 import (
+	"time"
+
 	"lagoondrum/core/flow"
 	"lagoondrum/core/hop"
 )
@@ -33,6 +35,8 @@
 	Refusal            // An agent refused to open the flow; the next one is asked.
 	Unanswered         // An agent left an opening unanswered; the next one is asked.
 	RepeatedOpen       // The client repeated its opening; the next agent is asked.
+	Asked              // An agent is asked to open the flow: the best by load and zone.
+	Answered           // The upstream answered the opening.
 	causeEnd
 )
 
@@ -42,6 +46,7 @@
 var causeNames = [Causes]string{
 	"none", "noRoute", "noUpstream", "allRefused", "flowGone", "allDenied", "noHint", "hintWrong",
 	"found", "notFound", "refusal", "unanswered", "repeatedOpen",
+	"asked", "answered",
 }
 
 // String returns the cause's name in logs and metrics.
@@ -57,6 +62,7 @@
 	seq    uint32
 	header hop.Header
 	packet []byte
+	took   time.Duration
 }
 
 // Kind returns what is to be done.
@@ -77,5 +83,8 @@
 // Header returns the header to send.
 func (act Action) Header() hop.Header { return act.header }
 
+// Took returns how long an answer took, for Answered.
+func (act Action) Took() time.Duration { return act.took }
+
 // Packet returns the packet to send behind the header.
 func (act Action) Packet() []byte { return act.packet }
--- a/core/track/opener.go
+++ b/core/track/opener.go
@@ -61,6 +61,7 @@
 	ent.copyTries++
 	ent.deadline = now.Add(tbl.answers.limit())
 	agt.NoteOpening()
+	tbl.notice(key, Asked, agt.IP())
 	tbl.send(agt.IP(), hop.Open, ent.id, key, ent.opener)
 }
 
@@ -73,10 +74,12 @@
 }
 
 // noteAnswer takes the time that an agent took as evidence on all of them.
-func (tbl *Table) noteAnswer(ent *entry, from [4]byte, now time.Time) {
+func (tbl *Table) noteAnswer(key flow.Key, ent *entry, from [4]byte, now time.Time) {
 	for _, atp := range ent.tries {
 		if atp.ip == from {
-			tbl.answers.note(now.Sub(atp.sentAt))
+			took := now.Sub(atp.sentAt)
+			tbl.answers.note(took)
+			tbl.out = append(tbl.out, Action{kind: Notice, cause: Answered, key: key, agent: from, took: took})
 		}
 	}
 }
@@ -117,7 +120,9 @@
 
 // opened handles an agent's word that its upstream answered an opening.
 func (tbl *Table) opened(key flow.Key, ent *entry, hdr hop.Header, from [4]byte, now time.Time) {
-	tbl.noteAnswer(ent, from, now)
+	if len(ent.holders) == 0 {
+		tbl.noteAnswer(key, ent, from, now)
+	}
 	if ent.phase != opening && ent.phase != open {
 		return
 	}
@@ -134,7 +139,7 @@
 
 // refused handles an agent's word that it does not open a flow.
 func (tbl *Table) refused(key flow.Key, ent *entry, hdr hop.Header, from [4]byte, now time.Time) {
-	tbl.noteAnswer(ent, from, now)
+	tbl.noteAnswer(key, ent, from, now)
 	if hdr.Reason() == hop.Silent {
 		ent.silent = true
 	}
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -18,6 +18,7 @@
 	"lagoondrum/core/mirror"
 	"lagoondrum/core/owner"
 	"lagoondrum/io/conf"
+	"lagoondrum/io/logs"
 	"lagoondrum/io/mmsg"
 	"lagoondrum/platform"
 )
@@ -43,11 +44,13 @@
 	meter     *agentMeter
 	balancers map[netip.AddrPort]time.Time // When each was heard last.
 	wake      chan struct{}
+	gauges    gauges
+	gaugeAt   time.Time
 }
 
 // RunAgent runs an agent until ctx ends.
-func RunAgent(ctx context.Context, set *conf.Settings, log *zap.Logger) error {
-	bas, err := newBase(set, log, false)
+func RunAgent(ctx context.Context, set *conf.Settings, log *zap.Logger, out *logs.Output) error {
+	bas, err := newBase(set, log, out, false)
 	if err != nil {
 		return err
 	}
@@ -68,6 +71,7 @@
 		meter:     newAgentMeter(bas.scope),
 		balancers: make(map[netip.AddrPort]time.Time),
 		wake:      make(chan struct{}, 1),
+		gauges:    gauges{scope: bas.scope},
 	}
 	bas.rep.OnChange(agt.changed)
 	if err := bas.serveHTTP(); err != nil {
@@ -280,6 +284,7 @@
 		case owner.ToClient:
 			agt.toApp.packet(act.Packet(), agt.clientAddr(act.Key()))
 		case owner.Tell:
+			agt.noteTold(act)
 			agt.post.framed(act.Header(), act.Packet(), addrOfEnd(act.Peer()))
 		case owner.Reset:
 			agt.meter.resets.Inc(1)
@@ -292,6 +297,19 @@
 	}
 }
 
+// noteTold logs what the agent tells of one flow.
+func (agt *agent) noteTold(act owner.Action) {
+	hdr := act.Header()
+	if hdr.Kind() == hop.Verdicts {
+		return
+	}
+	agt.meter.told(hdr)
+	if ent := agt.log.Check(zap.InfoLevel, "flow "+hdr.Kind().String()); ent != nil {
+		ent.Write(zap.Stringer("flow", hdr.Key()), zap.Stringer("balancer", act.Peer()), zap.Stringer("reason", hdr.Reason()),
+			zap.Float64("requests", hdr.Load().Requests()), zap.Int("flows", hdr.Load().Flows()), zap.Bool("complete", agt.book.Complete()))
+	}
+}
+
 func (agt *agent) clientAddr(key flow.Key) netip.AddrPort {
 	return addrOf(key.Client().IP(), agt.set.PacketListen().Port())
 }
@@ -328,6 +346,17 @@
 	}
 }
 
+// measure brings the gauges up to date.
+func (agt *agent) measure(now time.Time) {
+	if now.Before(agt.gaugeAt) {
+		return
+	}
+	agt.gaugeAt = now.Add(gaugeInterval)
+	agt.gauges.hold("flowsRecorded", float64(agt.book.Flows()))
+	agt.gauges.hold("requestsUnderWay", agt.book.Load(now).Requests())
+	agt.gauges.holdCommon(agt.base, now)
+}
+
 // tick handles the passing of time and returns when the next tick is due.
 func (agt *agent) tick(now time.Time) time.Time {
 	agt.mu.Lock()
@@ -336,6 +365,7 @@
 	agt.book.Tick(now)
 	agt.perform(now)
 	agt.flush()
+	agt.measure(now)
 	if agt.book.Busy() {
 		return now.Add(busyTick)
 	}
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -15,6 +15,7 @@
 	"lagoondrum/core/mirror"
 	"lagoondrum/core/track"
 	"lagoondrum/io/conf"
+	"lagoondrum/io/logs"
 	"lagoondrum/io/mmsg"
 	"lagoondrum/platform"
 )
@@ -45,11 +46,13 @@
 	roundAt time.Time
 	leaving bool
 	wake    chan struct{}
+	gauges  gauges
+	gaugeAt time.Time
 }
 
 // RunBalancer runs a balancer until ctx ends and the routers have left it.
-func RunBalancer(ctx context.Context, set *conf.Settings, log *zap.Logger) error {
-	bas, err := newBase(set, log, true)
+func RunBalancer(ctx context.Context, set *conf.Settings, log *zap.Logger, out *logs.Output) error {
+	bas, err := newBase(set, log, out, true)
 	if err != nil {
 		return err
 	}
@@ -67,6 +70,7 @@
 		fleet:   fleet.New(),
 		meter:   newBalancerMeter(bas.scope),
 		wake:    make(chan struct{}, 1),
+		gauges:  gauges{scope: bas.scope},
 	}
 	blc.table = track.New(set.Place().Zone(), set.LinkBytes(), blc.board, blc.fleet)
 	bas.rep.OnChange(blc.changed)
@@ -273,11 +277,27 @@
 	}
 }
 
-// note logs a decision with what decided it.
+// note logs a decision with what decided it. Each cause is a message of its own,
+// so that a frequent one does not have a rare one dropped.
 func (blc *balancer) note(act track.Action, outcome string, now time.Time) {
 	blc.meter.cause(act.Cause())
-	blc.log.Info(outcome, zap.Stringer("flow", act.Key()), zap.Stringer("cause", act.Cause()), zap.Stringer("agent", netip.AddrFrom4(act.Agent())),
-		zap.Uint64("version", blc.board.State().Version()), zap.Duration("stateAge", now.Sub(blc.rep.ConfirmedAt())))
+	agt := blc.fleet.Agent(act.Agent())
+	if act.Cause() == track.Answered && agt != nil {
+		blc.meter.answered(agt.Server().Service(), act.Took())
+	}
+	ent := blc.log.Check(zap.InfoLevel, outcome+" "+act.Cause().String())
+	if ent == nil {
+		return
+	}
+	fields := []zap.Field{zap.Stringer("flow", act.Key()), zap.Uint64("version", blc.board.State().Version()), zap.Duration("stateAge", now.Sub(blc.rep.ConfirmedAt()))}
+	if agt != nil {
+		fields = append(fields, zap.Stringer("agent", netip.AddrFrom4(act.Agent())), zap.String("upstream", agt.Server().ID()), zap.Float64("requests", agt.Load().Requests()),
+			zap.Int("flows", agt.Load().Flows()), zap.Int("pending", agt.Pending()), zap.Duration("loadAge", now.Sub(agt.HeardAt())))
+	}
+	if act.Took() > 0 {
+		fields = append(fields, zap.Duration("took", act.Took()))
+	}
+	ent.Write(fields...)
 }
 
 func (blc *balancer) flush(now time.Time) {
@@ -299,12 +319,24 @@
 	blc.perform(now)
 	blc.beats(now)
 	blc.flush(now)
+	blc.measure(now)
 	if blc.table.Busy() {
 		return now.Add(busyTick)
 	}
 	return now.Add(idleTick)
 }
 
+// measure brings the gauges up to date.
+func (blc *balancer) measure(now time.Time) {
+	if now.Before(blc.gaugeAt) {
+		return
+	}
+	blc.gaugeAt = now.Add(gaugeInterval)
+	blc.gauges.hold("flowsHinted", float64(blc.table.Hints()))
+	blc.gauges.hold("upstreamsListed", float64(blc.fleet.Len()))
+	blc.gauges.holdCommon(blc.base, now)
+}
+
 // beats sends the heartbeats that are due. A round reaches every agent; a large
 // fleet's round takes longer, at a bounded rate.
 func (blc *balancer) beats(now time.Time) {
--- a/io/carry/base.go
+++ b/io/carry/base.go
@@ -21,6 +21,7 @@
 	"lagoondrum/core/hop"
 	"lagoondrum/io/conf"
 	"lagoondrum/io/gossip"
+	"lagoondrum/io/logs"
 	"lagoondrum/io/mmsg"
 	"lagoondrum/io/stats"
 	"lagoondrum/platform"
@@ -40,6 +41,7 @@
 type base struct {
 	set         *conf.Settings
 	log         *zap.Logger
+	out         *logs.Output
 	scope       *stats.Scope
 	store       *platform.Store
 	rep         *gossip.Replica
@@ -51,7 +53,7 @@
 	sup         *suture.Supervisor
 }
 
-func newBase(set *conf.Settings, log *zap.Logger, balancer bool) (*base, error) {
+func newBase(set *conf.Settings, log *zap.Logger, out *logs.Output, balancer bool) (*base, error) {
 	debug.SetGCPercent(gcPercent)
 	runtime.GOMAXPROCS(schedulers)
 	self := set.PeerAddress()
@@ -62,6 +64,7 @@
 	bas := &base{
 		set:         set,
 		log:         log,
+		out:         out,
 		scope:       stats.New(set.Name()),
 		peers:       con,
 		post:        newPost(con),
@@ -143,5 +146,4 @@
 func (bas *base) close() {
 	_ = bas.peers.Close()
 	_ = bas.scope.Close()
-	_ = bas.log.Sync() // Standard output cannot be synced everywhere.
 }
--- a/io/proc/proc.go
+++ b/io/proc/proc.go
@@ -18,6 +18,7 @@
 	"lagoondrum/io/conf"
 	"lagoondrum/io/entry"
 	"lagoondrum/io/feed"
+	"lagoondrum/io/logs"
 	"lagoondrum/io/peer"
 	"lagoondrum/io/stats"
 	"lagoondrum/io/trust"
@@ -155,13 +156,22 @@
 	return nil
 }
 
+// logLimit is how long the end of a process waits for its last log lines.
+const logLimit = 200 * time.Millisecond
+
 // runPackets runs a process whose callers speak the platform's packets.
-func runPackets(ctx context.Context, set *conf.Settings, run func(context.Context, *conf.Settings, *zap.Logger) error) error {
-	log, err := newLogger(set)
+func runPackets(ctx context.Context, set *conf.Settings, run func(context.Context, *conf.Settings, *zap.Logger, *logs.Output) error) error {
+	level, err := zap.ParseAtomicLevel(set.LogLevel())
 	if err != nil {
 		return err
 	}
-	return run(ctx, set, log)
+	log, out := logs.New(set.Name(), level.Level())
+	err = run(ctx, set, log, out)
+	if err != nil {
+		log.Error("failed", zap.Error(err))
+	}
+	out.Close(time.Now().Add(logLimit))
+	return err
 }
 
 // tableMaker puts a new table in force whenever a list has changed.
