--- /dev/null
+++ b/io/carry/world_test.go
@@ -0,0 +1,350 @@
+package carry
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"lagoondrum/core/flow"
+	"lagoondrum/io/conf"
+	"lagoondrum/io/logs"
+	"lagoondrum/platform"
+)
+
+// The stand-ins run on loopback numbers, one for each VM.
+const (
+	packetPort = 28172
+	outPort    = 28162
+	readyPort  = 28167
+	peerPort   = 28720
+	appPort    = 28165
+	readyLimit = 10 * time.Second
+)
+
+func vmIP(num int) [4]byte { return [4]byte{127, 0, 7, byte(num)} }
+
+func vmAddr(num, port int) netip.AddrPort { return addrOf(vmIP(num), uint16(port)) }
+
+// storeStandIn is the platform's store: it serves items and waits for changes.
+type storeStandIn struct {
+	srv *httptest.Server
+
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]storeItem
+	changed  chan struct{}
+	down     atomic.Bool
+}
+
+type storeItem struct {
+	Key      string `json:"key"`
+	Value    string `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+func newStore(t *testing.T) *storeStandIn {
+	t.Helper()
+	sto := &storeStandIn{items: make(map[string]storeItem), changed: make(chan struct{}), revision: 10}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/api/kv-range", func(rw http.ResponseWriter, req *http.Request) { sto.answer(rw, "items", 0) })
+	mux.HandleFunc("/api/kv-watch", sto.watch)
+	sto.srv = httptest.NewServer(mux)
+	t.Cleanup(sto.srv.Close)
+	return sto
+}
+
+func (sto *storeStandIn) addr() netip.AddrPort {
+	return netip.MustParseAddrPort(strings.TrimPrefix(sto.srv.URL, "http://"))
+}
+
+func (sto *storeStandIn) put(key, value string, deleted bool) {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	sto.revision++
+	sto.items[key] = storeItem{Key: key, Value: base64.StdEncoding.EncodeToString([]byte(value)), Revision: sto.revision, Deleted: deleted}
+	close(sto.changed)
+	sto.changed = make(chan struct{})
+}
+
+func (sto *storeStandIn) answer(rw http.ResponseWriter, field string, after uint64) {
+	if sto.down.Load() {
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	list := []storeItem{}
+	for _, itm := range sto.items {
+		if itm.Revision > after && (field == "events" || !itm.Deleted) {
+			list = append(list, itm)
+		}
+	}
+	_ = json.NewEncoder(rw).Encode(map[string]any{field: list, "has-more": false, "at-rev": sto.revision})
+}
+
+func (sto *storeStandIn) watch(rw http.ResponseWriter, req *http.Request) {
+	var after uint64
+	var wait int
+	fmt.Sscan(req.URL.Query().Get("after"), &after)
+	fmt.Sscan(req.URL.Query().Get("wait-ms"), &wait)
+	sto.mu.Lock()
+	changed, news := sto.changed, sto.revision > after
+	sto.mu.Unlock()
+	if !news {
+		select {
+		case <-changed:
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-req.Context().Done():
+		}
+	}
+	sto.answer(rw, "events", after)
+}
+
+// listServer publishes the entry of an upstream.
+func (sto *storeStandIn) listServer(num int, service, state string) {
+	sto.put(fmt.Sprintf("servers/u%d", num), fmt.Sprintf(`{"service":%q,"address":"%s","zone":"z","version":"v1","slots":4,"state":%q,"cold-remaining-ms":0,"sequence":1}`,
+		service, vmAddr(num, appPort), state), false)
+}
+
+func (sto *storeStandIn) route(version int, address flow.End, service string) {
+	ip := netip.AddrFrom4(address.IP())
+	sto.put("op/config", fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":%q,"prefix":"/%d/","service":%q}],"limits":{"idle-timeout-ms":15000}}`,
+		version, ip, address.Port(), service), false)
+}
+
+// upstreamStandIn speaks packets: it opens flows, answers data and returns what
+// it does not hold.
+type upstreamStandIn struct {
+	con   *net.UDPConn
+	agent *net.UDPAddr
+
+	mu     sync.Mutex
+	flows  map[flow.Key]uint32
+	nextSq uint32
+	opened int
+}
+
+func newUpstream(t *testing.T, num int) *upstreamStandIn {
+	t.Helper()
+	con, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(vmAddr(num, appPort)))
+	assert.NilError(t, err)
+	ups := &upstreamStandIn{con: con, agent: net.UDPAddrFromAddrPort(vmAddr(num, outPort)), flows: make(map[flow.Key]uint32), nextSq: uint32(num) << 24}
+	t.Cleanup(func() { _ = con.Close() })
+	go ups.run()
+	return ups
+}
+
+func (ups *upstreamStandIn) run() {
+	buf := make([]byte, platform.MaxPacket)
+	for {
+		size, err := ups.con.Read(buf)
+		if err != nil {
+			return
+		}
+		if pkt, ok := platform.ParsePacket(buf[:size]); ok {
+			_, _ = ups.con.WriteToUDP(ups.answer(pkt, append([]byte(nil), buf[:size]...)), ups.agent)
+		}
+	}
+}
+
+func (ups *upstreamStandIn) answer(pkt flow.Packet, raw []byte) []byte {
+	ups.mu.Lock()
+	defer ups.mu.Unlock()
+	key := pkt.FromClient()
+	if pkt.Opening() {
+		if ups.flows[key] == 0 {
+			ups.nextSq += 1 << 12
+			ups.flows[key] = ups.nextSq
+			ups.opened++
+		}
+		return encode(pkt.To(), pkt.From(), synBit|ackBit, ups.flows[key], pkt.Seq()+1, nil)
+	}
+	if seq := ups.flows[key]; seq != 0 && pkt.Ack() == seq+1 {
+		return encode(pkt.To(), pkt.From(), ackBit, seq+1, pkt.Seq()+1, []byte("answer"))
+	}
+	raw[12] |= 128
+	return raw
+}
+
+func (ups *upstreamStandIn) openings() int {
+	ups.mu.Lock()
+	defer ups.mu.Unlock()
+	return ups.opened
+}
+
+const (
+	rstBit = 1
+	synBit = 2
+	ackBit = 8
+)
+
+// encode writes a packet as clients and upstreams do.
+func encode(from, to flow.End, flags byte, seq, ack uint32, data []byte) []byte {
+	raw := make([]byte, 32, 32+len(data))
+	binary.LittleEndian.PutUint16(raw, from.Port())
+	binary.LittleEndian.PutUint16(raw[2:], to.Port())
+	putIP(raw[4:], to.IP())
+	putIP(raw[8:], from.IP())
+	raw[12] = flags
+	binary.LittleEndian.PutUint16(raw[18:], uint16(len(data)))
+	binary.LittleEndian.PutUint32(raw[20:], seq)
+	binary.LittleEndian.PutUint32(raw[24:], ack)
+	binary.LittleEndian.PutUint32(raw[28:], 0xfeed)
+	return append(raw, data...)
+}
+
+func putIP(raw []byte, ip [4]byte) { raw[0], raw[1], raw[2], raw[3] = ip[3], ip[2], ip[1], ip[0] }
+
+// running is a process in the test's own process.
+type running struct {
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func (run *running) stop(t *testing.T) {
+	t.Helper()
+	run.cancel()
+	select {
+	case err := <-run.done:
+		assert.NilError(t, err)
+		close(run.done)
+	case <-time.After(readyLimit):
+		t.Fatal("the process does not end")
+	}
+}
+
+func settings(t *testing.T, num int, sto *storeStandIn, service string) *conf.Settings {
+	t.Helper()
+	text := fmt.Sprintf(`[process]
+name = vm%d
+zone = z
+region = r
+fabric = packets
+[peer]
+address = %s
+[platform]
+address = %s
+[packets]
+listen = %s
+outbound = %s
+ready = %s
+metrics = %s
+graceSeconds = 3
+`, num, vmAddr(num, peerPort), sto.addr(), vmAddr(num, packetPort), vmAddr(num, outPort), vmAddr(num, readyPort), vmAddr(num, readyPort+1))
+	if service != "" {
+		text += fmt.Sprintf("[upstream]\naddress = %s\nservice = %s\n", vmAddr(num, appPort), service)
+	}
+	set, err := conf.Parse("test", []byte(text))
+	assert.NilError(t, err)
+	return set
+}
+
+type runner func(context.Context, *conf.Settings, *zap.Logger, *logs.Output) error
+
+// start runs a process until it is ready.
+func start(t *testing.T, num int, set *conf.Settings, run runner) *running {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	prc := &running{cancel: cancel, done: make(chan error, 1)}
+	go func() { prc.done <- run(ctx, set, zap.NewNop(), logs.NewOutput(&strings.Builder{})) }()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case <-prc.done:
+		case <-time.After(readyLimit):
+		}
+	})
+	awaitReady(t, num)
+	return prc
+}
+
+func awaitReady(t *testing.T, num int) {
+	t.Helper()
+	eventually(t, "ready", func() bool {
+		rsp, err := http.Get("http://" + vmAddr(num, readyPort).String() + platform.ReadyPath)
+		if err != nil {
+			return false
+		}
+		_ = rsp.Body.Close()
+		return rsp.StatusCode == http.StatusOK
+	})
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(readyLimit); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not %s within %s", what, readyLimit)
+		}
+	}
+}
+
+// clientStandIn is one client behind the routers: answers come to its own
+// address at the packet port.
+type clientStandIn struct {
+	t   *testing.T
+	con *net.UDPConn
+	end flow.End
+}
+
+func newClient(t *testing.T, num int) *clientStandIn {
+	t.Helper()
+	con, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(vmAddr(num, packetPort)))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = con.Close() })
+	return &clientStandIn{t: t, con: con, end: flow.NewEnd(vmIP(num), 40000)}
+}
+
+// exchange sends a packet through a balancer, repeats it as clients do, and
+// returns the answer that fits.
+func (cln *clientStandIn) exchange(balancer int, raw []byte, fits func(flow.Packet) bool) flow.Packet {
+	cln.t.Helper()
+	buf := make([]byte, platform.MaxPacket)
+	for deadline := time.Now().Add(readyLimit); time.Now().Before(deadline); {
+		_, err := cln.con.WriteToUDPAddrPort(raw, vmAddr(balancer, packetPort))
+		assert.NilError(cln.t, err)
+		until := time.Now().Add(200 * time.Millisecond)
+		for time.Now().Before(until) {
+			_ = cln.con.SetReadDeadline(until)
+			size, err := cln.con.Read(buf)
+			if err != nil {
+				break
+			}
+			if pkt, ok := platform.ParsePacket(buf[:size]); ok && fits(pkt) {
+				return pkt
+			}
+		}
+	}
+	cln.t.Fatal("no answer")
+	return flow.Packet{}
+}
+
+// open opens a flow and returns the upstream's sequence number.
+func (cln *clientStandIn) open(balancer int, address flow.End, port uint16) (flow.End, uint32) {
+	cln.t.Helper()
+	end := flow.NewEnd(cln.end.IP(), port)
+	pkt := cln.exchange(balancer, encode(end, address, synBit, 700, 0, nil), func(pkt flow.Packet) bool { return pkt.Has(flow.Syn) && pkt.To() == end })
+	return end, pkt.Seq()
+}
+
+// ask sends data over an open flow and returns what comes back.
+func (cln *clientStandIn) ask(balancer int, end, address flow.End, seq uint32) flow.Packet {
+	cln.t.Helper()
+	return cln.exchange(balancer, encode(end, address, ackBit, 701, seq+1, []byte("question")),
+		func(pkt flow.Packet) bool { return pkt.To() == end && (pkt.Size() > 0 || pkt.Has(flow.Rst)) })
+}
