Offer flows to agents that were heard first, and pass news on to five

Cause: a reader's heartbeats alone would take 100 s to tell 4,180 processes of a change; right after a start a balancer offered flows to agents that were not up yet.

Change: every process that learns of a new state tells five agents at once. An agent that was never heard comes after those that were.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -17,6 +17,7 @@
 	flowWeight   = 0.04 // Requests that an open flow keeps under way on average.
 	farPenalty   = 0.12 // For an upstream in another availability zone, whose bytes are paid for.
 	coldFactor   = 1.6  // A cold upstream takes so many times as long.
+	unheardCost  = 10   // For an agent that was never heard, as just after a start: one that is known to run comes first.
 	soundPenalty = 1000 // For an agent that evidence speaks against: taken when nothing better is left.
 	jitter       = 0.05 // Spread by hash, so that balancers with the same word choose differently.
 )
@@ -59,6 +60,9 @@
 	if srv.Zone() != zone {
 		cost += farPenalty
 	}
+	if agt.HeardAt().IsZero() {
+		cost += unheardCost
+	}
 	if !agt.Sound(now) {
 		cost += soundPenalty
 	}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -16,8 +16,16 @@
 
 func noneTried([4]byte) bool { return false }
 
-// newFleet lists upstreams in zones, by their number.
+// newFleet lists upstreams in zones, by their number, and has all of them heard.
 func newFleet(zones ...string) *fleet.Fleet {
+	flt := newSilentFleet(zones...)
+	for num := range zones {
+		hear(flt, num, 0)
+	}
+	return flt
+}
+
+func newSilentFleet(zones ...string) *fleet.Fleet {
 	flt := fleet.New()
 	for num, zone := range zones {
 		flt.List(fleet.NewServer(fleet.Listing{ID: fmt.Sprint(num), Service: "feed", Address: [4]byte{10, 0, 0, byte(num)}, Zone: zone, Slots: 4}, start), start)
@@ -55,6 +63,12 @@
 	}
 }
 
+func TestHeardAgentsComeFirst(t *testing.T) {
+	flt := newSilentFleet("near", "far")
+	hear(flt, 1, 3)
+	assert.Equal(t, choose(flt, 1, noneTried).IP()[3], byte(1))
+}
+
 func TestEvidenceAloneNeverEmptiesAService(t *testing.T) {
 	flt := newFleet("near")
 	flt.Agent([4]byte{10, 0, 0, 0}).NoteMiss(start)
--- a/core/proof/packets_scene_test.go
+++ b/core/proof/packets_scene_test.go
@@ -67,17 +67,16 @@
 
 // sceneVM is a VM with an upstream and the agent beside it.
 type sceneVM struct {
-	service    int
-	life       int // The upstream's incarnation.
-	up         bool
-	draining   bool
-	drainAt    time.Time
-	holds      map[flow.Key]*heldFlow
-	book       *owner.Book // Nil while the agent is down.
-	agentLife  uint64
-	hurtAt     time.Time // When the agent was last killed without notice.
-	listed     bool
-	announcing bool
+	service   int
+	life      int // The upstream's incarnation.
+	up        bool
+	draining  bool
+	drainAt   time.Time
+	holds     map[flow.Key]*heldFlow
+	book      *owner.Book // Nil while the agent is down.
+	agentLife uint64
+	hurtAt    time.Time // When the agent was last killed without notice.
+	listed    bool
 }
 
 // heldFlow is a flow at an upstream.
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -146,6 +146,10 @@
 		}
 	}
 	agt.judgeOwn()
+	if len(items) > 0 {
+		agt.spread(agt.beatOut(now), agt.fleet.All())
+		agt.post.flush()
+	}
 }
 
 // adoptLimits takes what an agent needs of the desired state.
@@ -243,8 +247,11 @@
 
 func (agt *agent) fromBalancer(hdr hop.Header, tail []byte, from netip.AddrPort, now time.Time) {
 	if hdr.Kind() == hop.Beat {
-		agt.balancers[from] = now
 		agt.heardBeat(hdr, from, now)
+		if hdr.Service() != 0 {
+			return // Of another agent.
+		}
+		agt.balancers[from] = now
 		agt.post.framed(agt.beatOut(now), nil, from)
 		return
 	}
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -152,6 +152,8 @@
 	}
 	if len(items) > 0 {
 		blc.roundAt, blc.beatAt = now, now
+		blc.spread(blc.beat(0, now), blc.fleet.All())
+		blc.post.flush()
 		blc.awake()
 	}
 }
--- a/io/carry/base.go
+++ b/io/carry/base.go
@@ -18,6 +18,7 @@
 	"github.com/thejerf/suture/v4"
 	"go.uber.org/zap"
 
+	"lagoondrum/core/fleet"
 	"lagoondrum/core/hop"
 	"lagoondrum/io/conf"
 	"lagoondrum/io/gossip"
@@ -32,6 +33,7 @@
 	busyTick      = 10 * time.Millisecond // Between ticks while answers are awaited.
 	idleTick      = 50 * time.Millisecond // Between ticks otherwise.
 	beatInterval  = 250 * time.Millisecond
+	newsFanout    = 5               // Processes that are told at once of a new state: 4,180 of them are reached in six steps.
 	headerTimeout = 2 * time.Second // For a request to an own HTTP address.
 	schedulers    = 4               // Readers block in system calls; with one scheduler each the others need not wait for the runtime to notice.
 	gcPercent     = 50              // Heap growth between collections: the heap is some MB, and memory is scarce.
@@ -142,6 +144,20 @@
 	bas.rep.Heard(from, hdr.Service() == 0, hdr.Reader(), hdr.Revision(), confirmed, now)
 }
 
+// spread tells some agents at once that this process knows a new state.
+func (bas *base) spread(hdr hop.Header, agents map[[4]byte]*fleet.Agent) {
+	told := 0
+	for ip := range agents { // In random order.
+		if told == newsFanout {
+			return
+		}
+		if ip != bas.self.Addr().As4() {
+			bas.post.framed(hdr, nil, addrOf(ip, bas.self.Port()))
+			told++
+		}
+	}
+}
+
 // close closes what the supervisor does not.
 func (bas *base) close() {
 	_ = bas.peers.Close()
