--- /dev/null
+++ b/core/hop/hop_test.go
@@ -0,0 +1,59 @@
+package hop
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lagoondrum/core/flow"
+)
+
+var key = flow.NewKey(flow.NewEnd([4]byte{100, 64, 0, 7}, 40001), flow.NewEnd([4]byte{198, 18, 0, 1}, 443))
+
+func TestHeaderSurvivesItsEncoding(t *testing.T) {
+	for name, hdr := range map[string]Header{
+		"refusal":   New(Refused, 7, key).WithReason(Bounced).WithLoad(NewLoad(24, 9)).WithDown(),
+		"opened":    New(Opened, 7, key).WithSeq(5000),
+		"heartbeat": NewBeat(7, 1<<60, 12).WithLeaving(true).WithReader().WithFresh(),
+	} {
+		t.Run(name, func(t *testing.T) {
+			var buf [HeaderBytes]byte
+			hdr.Put(buf[:])
+			got, ok := Parse(buf[:])
+			assert.Assert(t, ok)
+			assert.Equal(t, got, hdr)
+		})
+	}
+}
+
+func TestLists(t *testing.T) {
+	list := AppendQuestion(AppendQuestion(nil, key, 5), key, 6)
+	var acks []uint32
+	EachQuestion(append(list, 1, 2), func(_ flow.Key, ack uint32) { acks = append(acks, ack) })
+	assert.DeepEqual(t, acks, []uint32{5, 6})
+
+	verdicts := AppendVerdict(AppendVerdict(nil, key, Held, 9), key, Open, 0)
+	var kinds []Kind
+	New(Verdicts, 7, flow.Key{}).EachVerdict(verdicts, func(hdr Header) { kinds = append(kinds, hdr.Kind()) })
+	assert.DeepEqual(t, kinds, []Kind{Held}) // Only answers are taken.
+}
+
+func TestLoadIsClipped(t *testing.T) {
+	assert.Equal(t, NewLoad(-1, 1<<20).Flows(), 1<<16-1)
+	assert.Equal(t, NewLoad(-1, 0).Requests(), 0.0)
+}
+
+func FuzzParse(f *testing.F) {
+	var buf [HeaderBytes]byte
+	New(Seek, 7, key).Put(buf[:])
+	f.Add(buf[:])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		hdr, ok := Parse(data)
+		if !ok {
+			return
+		}
+		_ = hdr.Kind().String() + hdr.Reason().String()
+		EachQuestion(data[HeaderBytes:], func(flow.Key, uint32) {})
+		hdr.EachVerdict(data[HeaderBytes:], func(Header) {})
+	})
+}
--- a/io/gossip/replica.go
+++ b/io/gossip/replica.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"lagoondrum/core/mirror"
