--- a/core/hop/hop.go
+++ b/core/hop/hop.go
@@ -59,7 +59,7 @@
 	flagLeaving = 1 << iota // The sender takes no new flows.
 	flagRestart             // The sender ends and is about to be started again.
 	flagDown                // The upstream beside the sender does not run.
-	flagReader              // The sender reads the platform.
+	flagAble                // The sender reads the platform.
 	flagFresh               // The sender has a state that was confirmed.
 )
 
@@ -169,8 +169,8 @@
 // WithDown returns the header of a sender whose upstream does not run.
 func (hdr Header) WithDown() Header { hdr.flags |= flagDown; return hdr }
 
-// WithReader returns the header of a sender that reads the platform.
-func (hdr Header) WithReader() Header { hdr.flags |= flagReader; return hdr }
+// WithAble returns the header of a sender whose last call the platform answered.
+func (hdr Header) WithAble() Header { hdr.flags |= flagAble; return hdr }
 
 // WithFresh returns the header of a sender whose state was confirmed lately.
 func (hdr Header) WithFresh() Header { hdr.flags |= flagFresh; return hdr }
@@ -208,8 +208,8 @@
 // Down reports whether the sender's upstream does not run.
 func (hdr Header) Down() bool { return hdr.flags&flagDown != 0 }
 
-// Reader reports whether the sender reads the platform.
-func (hdr Header) Reader() bool { return hdr.flags&flagReader != 0 }
+// Able reports whether the platform answered the sender's last call.
+func (hdr Header) Able() bool { return hdr.flags&flagAble != 0 }
 
 // Fresh reports whether the sender's state was confirmed lately.
 func (hdr Header) Fresh() bool { return hdr.flags&flagFresh != 0 }
--- a/core/hop/hop_test.go
+++ b/core/hop/hop_test.go
@@ -14,7 +14,7 @@
 	for name, hdr := range map[string]Header{
 		"refusal":   New(Refused, 7, key).WithReason(Bounced).WithLoad(NewLoad(24, 9)).WithDown(),
 		"opened":    New(Opened, 7, key).WithSeq(5000),
-		"heartbeat": NewBeat(7, 1<<60, 12).WithLeaving(true).WithReader().WithFresh(),
+		"heartbeat": NewBeat(7, 1<<60, 12).WithLeaving(true).WithAble().WithFresh(),
 	} {
 		t.Run(name, func(t *testing.T) {
 			var buf [HeaderBytes]byte
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -12,7 +12,6 @@
 	"lagoondrum/core/fleet"
 	"lagoondrum/core/hop"
 	"lagoondrum/core/intent"
-	"lagoondrum/core/mirror"
 	"lagoondrum/core/track"
 	"lagoondrum/io/conf"
 	"lagoondrum/io/logs"
@@ -124,60 +123,6 @@
 	}
 }
 
-// changed takes new items of the platform into use.
-func (blc *balancer) changed(items []mirror.Item, now time.Time) {
-	states := make([]*intent.State, 0, 1)
-	for _, itm := range items {
-		if knd, _ := platform.KindOf(itm.Key()); knd == platform.StateItem && !itm.Deleted() {
-			stt, err := platform.ParseState(itm.Value()) // Outside the lock: a large state takes milliseconds.
-			if err != nil {
-				blc.log.Error("desired state cannot be used", zap.Uint64("revision", itm.Revision()), zap.Error(err))
-				continue
-			}
-			states = append(states, stt)
-		}
-	}
-	blc.mu.Lock()
-	defer blc.mu.Unlock()
-	for _, stt := range states {
-		taken := blc.board.Adopt(stt, now)
-		blc.log.Info("desired state", zap.Uint64("version", stt.Version()), zap.Int("routes", stt.Routes()), zap.Bool("inForce", taken))
-	}
-	for _, itm := range items {
-		blc.list(itm, now)
-	}
-	if !blc.leaving && blc.board.State() != nil && !blc.ready.Load() {
-		blc.ready.Store(true)
-		blc.log.Info("ready", zap.Uint64("version", blc.board.State().Version()), zap.Int("upstreams", blc.fleet.Len()))
-	}
-	if len(items) > 0 {
-		blc.roundAt, blc.beatAt = now, now
-		blc.spread(blc.beat(0, now), blc.fleet.All())
-		blc.post.flush()
-		blc.awake()
-	}
-}
-
-func (blc *balancer) list(itm mirror.Item, now time.Time) {
-	knd, id := platform.KindOf(itm.Key())
-	if knd != platform.ServerItem {
-		return
-	}
-	if itm.Deleted() {
-		blc.fleet.Unlist(id, now)
-		blc.log.Info("upstream unlisted", zap.String("id", id), zap.Uint64("revision", itm.Revision()))
-		return
-	}
-	lst, err := platform.ParseServer(id, itm.Value())
-	if err != nil {
-		blc.log.Warn("entry of an upstream cannot be used", zap.String("id", id), zap.Uint64("revision", itm.Revision()), zap.Error(err))
-		return
-	}
-	blc.fleet.List(fleet.NewServer(lst, now), now)
-	blc.log.Info("upstream listed", zap.String("id", id), zap.String("service", lst.Service), zap.Stringer("vm", netip.AddrFrom4(lst.Address)),
-		zap.Bool("draining", lst.Draining), zap.Duration("cold", lst.Cold), zap.Uint64("revision", itm.Revision()))
-}
-
 func (blc *balancer) awake() {
 	select {
 	case blc.wake <- struct{}{}:
@@ -338,55 +283,3 @@
 	blc.gauges.hold("upstreamsListed", float64(blc.fleet.Len()))
 	blc.gauges.holdCommon(blc.base, now)
 }
-
-// beats sends the heartbeats that are due. A round reaches every agent; a large
-// fleet's round takes longer, at a bounded rate.
-func (blc *balancer) beats(now time.Time) {
-	if len(blc.beatsTo) == 0 && !now.Before(blc.roundAt) {
-		blc.roundAt = now.Add(beatInterval)
-		for ip := range blc.fleet.All() {
-			blc.beatsTo = append(blc.beatsTo, ip)
-		}
-		blc.beatBalancers(now)
-	}
-	if now.Before(blc.beatAt) || len(blc.beatsTo) == 0 {
-		return
-	}
-	blc.beatAt = now.Add(beatInterval)
-	count := min(len(blc.beatsTo), int(beatsPerSecond*beatInterval/time.Second))
-	hdr, tail := blc.beat(0, now), blc.introduce(now)
-	for _, ip := range blc.beatsTo[:count] {
-		if agt := blc.fleet.Agent(ip); agt != nil {
-			agt.NoteBeat(now)
-			blc.post.framed(hdr, tail, addrOf(ip, blc.self.Port()))
-		}
-	}
-	blc.beatsTo = blc.beatsTo[count:]
-}
-
-// beatBalancers sends a heartbeat to the balancers that are known.
-func (blc *balancer) beatBalancers(now time.Time) {
-	known := make(map[[4]byte]bool)
-	for _, seed := range blc.set.Seeds() {
-		known[seed.Addr().As4()] = true
-	}
-	for _, ip := range blc.rep.Balancers(now) {
-		known[ip] = true
-	}
-	delete(known, blc.self.Addr().As4())
-	hdr := blc.beat(0, now)
-	for ip := range known {
-		blc.post.framed(hdr, nil, addrOf(ip, blc.self.Port()))
-	}
-}
-
-// introduce returns the balancers that a heartbeat names.
-func (blc *balancer) introduce(now time.Time) []byte {
-	var tail []byte
-	for i, ip := range blc.rep.Balancers(now) {
-		if i < introductions {
-			tail = append(tail, ip[:]...)
-		}
-	}
-	return tail
-}
--- a/io/carry/base.go
+++ b/io/carry/base.go
@@ -130,7 +130,7 @@
 		hdr = hdr.WithFresh().WithSeq(uint32(now.Sub(at).Milliseconds()))
 	}
 	if bas.rep.Able() {
-		hdr = hdr.WithReader()
+		hdr = hdr.WithAble()
 	}
 	return hdr
 }
@@ -141,7 +141,7 @@
 		return
 	}
 	confirmed := now.Add(-time.Duration(hdr.Seq()) * time.Millisecond)
-	bas.rep.Heard(from, hdr.Service() == 0, hdr.Reader(), hdr.Revision(), confirmed, now)
+	bas.rep.Heard(from, hdr.Service() == 0, hdr.Able(), hdr.Revision(), confirmed, now)
 }
 
 // spread tells some agents at once that this process knows a new state.
