Have balancers name each other

Change: heartbeats between balancers name some of those heard; named ones are beaten for 3 s. A round reaches ten balancers.

--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -25,7 +25,6 @@
 	leaveAtLeast   = 1200 * time.Millisecond // Routers look twice a second and stop sending after two misses.
 	leaveQuiet     = 300 * time.Millisecond  // A leaving balancer ends when nothing came for this long.
 	graceMargin    = time.Second             // A leaving balancer ends this long before it would be killed.
-	introductions  = 8                       // Balancers that a heartbeat names.
 )
 
 // balancer is the process on an entry VM.
@@ -43,6 +42,7 @@
 	beatAt  time.Time
 	beatsTo [][4]byte // Agents that this round of heartbeats has not reached yet.
 	roundAt time.Time
+	named   map[[4]byte]time.Time // Balancers that others named, and until when that counts.
 	leaving bool
 	wake    chan struct{}
 	gauges  gauges
@@ -68,6 +68,7 @@
 		board:   intent.NewBoard(),
 		fleet:   fleet.New(),
 		meter:   newBalancerMeter(bas.scope),
+		named:   make(map[[4]byte]time.Time),
 		wake:    make(chan struct{}, 1),
 		gauges:  gauges{scope: bas.scope},
 	}
@@ -191,6 +192,7 @@
 		blc.noteAgent(hdr, from, now)
 		if hdr.Kind() == hop.Beat {
 			blc.heardBeat(hdr, from, now)
+			blc.noteNamed(box.Data(i)[hop.HeaderBytes:], now)
 			continue
 		}
 		blc.table.FromAgent(hdr, box.Data(i)[hop.HeaderBytes:], from.Addr().As4(), now)
--- a/io/carry/beat.go
+++ b/io/carry/beat.go
@@ -1,6 +1,16 @@
 package carry
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Limits of the heartbeats between balancers.
+const (
+	balancersBeaten = 10              // Balancers that a round of heartbeats reaches: 40 heartbeats a second.
+	balancersNamed  = 8               // Balancers that a heartbeat names.
+	namedTime       = 3 * time.Second // A balancer that was named and not heard is beaten for this long.
+)
 
 // beats sends the heartbeats that are due. A round reaches every agent; a large
 // fleet's round takes longer, at a bounded rate.
@@ -17,39 +27,61 @@
 	}
 	blc.beatAt = now.Add(beatInterval)
 	count := min(len(blc.beatsTo), int(beatsPerSecond*beatInterval/time.Second))
-	hdr, tail := blc.beat(0, now), blc.introduce(now)
+	hdr := blc.beat(0, now)
 	for _, ip := range blc.beatsTo[:count] {
 		if agt := blc.fleet.Agent(ip); agt != nil {
 			agt.NoteBeat(now)
-			blc.post.framed(hdr, tail, addrOf(ip, blc.self.Port()))
+			blc.post.framed(hdr, nil, addrOf(ip, blc.self.Port()))
 		}
 	}
 	blc.beatsTo = blc.beatsTo[count:]
 }
 
-// beatBalancers sends a heartbeat to the balancers that are known.
+// beatBalancers sends a heartbeat to balancers: the seeds, those that were heard,
+// and those that others have named. It names some in turn, so that all balancers
+// of a small fleet come to know each other.
 func (blc *balancer) beatBalancers(now time.Time) {
 	known := make(map[[4]byte]bool)
 	for _, seed := range blc.set.Seeds() {
 		known[seed.Addr().As4()] = true
 	}
-	for _, ip := range blc.rep.Balancers(now) {
+	heard := blc.rep.Balancers(now)
+	for _, ip := range heard {
 		known[ip] = true
 	}
+	for ip, until := range blc.named {
+		if now.Before(until) {
+			known[ip] = true
+		} else {
+			delete(blc.named, ip)
+		}
+	}
 	delete(known, blc.self.Addr().As4())
-	hdr := blc.beat(0, now)
-	for ip := range known {
-		blc.post.framed(hdr, nil, addrOf(ip, blc.self.Port()))
+	hdr, names := blc.beat(0, now), nameSome(heard)
+	sent := 0
+	for ip := range known { // In random order.
+		if sent == balancersBeaten {
+			return
+		}
+		blc.post.framed(hdr, names, addrOf(ip, blc.self.Port()))
+		sent++
 	}
 }
 
-// introduce returns the balancers that a heartbeat names.
-func (blc *balancer) introduce(now time.Time) []byte {
-	var tail []byte
-	for i, ip := range blc.rep.Balancers(now) {
-		if i < introductions {
-			tail = append(tail, ip[:]...)
+// nameSome returns the IP numbers of some balancers, to name them to others.
+func nameSome(heard [][4]byte) []byte {
+	var names []byte
+	for _, at := range rand.Perm(len(heard)) {
+		if len(names) < balancersNamed*len(heard[at]) {
+			names = append(names, heard[at][:]...)
 		}
 	}
-	return tail
+	return names
+}
+
+// noteNamed takes the balancers that another one names.
+func (blc *balancer) noteNamed(names []byte, now time.Time) {
+	for ; len(names) >= 4; names = names[4:] {
+		blc.named[[4]byte(names)] = now.Add(namedTime)
+	}
 }
