--- /dev/null
+++ b/core/track/bench_test.go
@@ -0,0 +1,72 @@
+package track
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lagoondrum/core/flow"
+	"lagoondrum/core/hop"
+)
+
+// hinted returns a table that holds flows, each at its agent.
+func hinted(flows, agents int) *bench {
+	bch := newBench(agents)
+	for num := range flows {
+		key := flow.NewKey(flow.NewEnd([4]byte{100, byte(num >> 16), byte(num >> 8), byte(num)}, 20000), address)
+		bch.put(key, &entry{phase: open, id: feed, holders: []holder{{ip: vm(1 + num%agents), seq: 5000}}})
+	}
+	return bch
+}
+
+func BenchmarkPacketOfAHintedFlow(b *testing.B) {
+	for _, flows := range []int{1e3, 1e4, 1e5} {
+		b.Run(fmt.Sprint(flows), func(b *testing.B) {
+			bch := hinted(flows, 10)
+			raw := make([]byte, 1232)
+			b.ReportAllocs()
+			for num := 0; b.Loop(); num++ {
+				at := num % flows
+				from := flow.NewEnd([4]byte{100, byte(at >> 16), byte(at >> 8), byte(at)}, 20000)
+				bch.FromClient(flow.NewPacket(from, address, flow.Ack, 101, 5001, 1200), raw, start)
+				bch.Take()
+			}
+		})
+	}
+}
+
+func BenchmarkOpening(b *testing.B) {
+	for _, agents := range []int{10, 100, 3600} {
+		b.Run(fmt.Sprint(agents), func(b *testing.B) {
+			bch := newBench(1)
+			for num := range agents {
+				bch.listAt([4]byte{10, 1, byte(num >> 8), byte(num)})
+			}
+			b.ReportAllocs()
+			for num := 0; b.Loop(); num++ {
+				from := flow.NewEnd([4]byte{100, byte(num >> 16), byte(num >> 8), byte(num)}, 20000)
+				bch.FromClient(flow.NewPacket(from, address, flow.Syn, 100, 0, 0), nil, start)
+				for _, act := range sends(bch.Take()) {
+					bch.FromAgent(hop.New(hop.Opened, feed, act.Key()), nil, act.Agent(), start.Add(time.Millisecond))
+				}
+				bch.remove(flow.NewKey(from, address))
+				bch.Take()
+			}
+		})
+	}
+}
+
+// TestPacketOfAHintedFlowAllocatesNothing keeps the garbage collector out of the
+// packet path.
+func TestPacketOfAHintedFlowAllocatesNothing(t *testing.T) {
+	bch := hinted(1, 1)
+	from := flow.NewEnd([4]byte{100, 0, 0, 0}, 20000)
+	raw := make([]byte, 1232)
+	got := testing.AllocsPerRun(1000, func() {
+		bch.FromClient(flow.NewPacket(from, address, flow.Ack, 101, 5001, 1200), raw, start)
+		bch.Take()
+	})
+	if got != 0 {
+		t.Fatalf("%v allocations a packet", got)
+	}
+}
--- a/core/track/table_test.go
+++ b/core/track/table_test.go
@@ -57,6 +57,12 @@
 	bch.fleet.Agent(vm(num)).NoteHeard(hop.NewBeat(hop.ServiceID(service), 1, 1), start)
 }
 
+// listAt lists one more upstream of the feed, which is not heard.
+func (bch *bench) listAt(ip [4]byte) {
+	lst := fleet.Listing{ID: string(ip[:]), Service: "feed", Address: ip, Port: 80, Zone: "z", Slots: 4}
+	bch.fleet.List(fleet.NewServer(lst, start), start)
+}
+
 func (bch *bench) open(num int, copies uint32, now time.Time) []Action {
 	bch.FromClient(flow.NewPacket(clientEnd(num), address, flow.Syn, 100, copies, 0), []byte("opening"), now)
 	return sends(bch.Take())
