Send copies on paths in doubt, and give full silent paths up at once

Traced with a line for each datagram and probe: (1) after a balancer died a third of the packets is lost, and QUIC sends the answers to path challenges, and a challenge, once in 100 to 800 ms: a probe failed, or succeeded for the client alone, which then was silent for another second. With detection after the keepalive (3 s) and 1 s of silence, two such rounds pass the deadline of 8 s. (2) An upload fills the congestion window, and QUIC then sends no probe at all: three moves failed in 5.5 s before the connection was given up.

Change: datagrams of a path that is new, or silent for 200 ms, leave three times; a probe that QUIC does not send within 0.5 s ends the connection at once.

New tests, both failed first: TestPathIsValidatedThoughCopiesAreLost, TestFullSilentPathEndsItsConnectionAtOnce.

--- a/io/caller/link.go
+++ b/io/caller/link.go
@@ -21,7 +21,8 @@
 	watchInterval    = 100 * time.Millisecond
 	silenceToMove    = time.Second // Packets unanswered for this long make the path move.
 	probeTimeout     = 1500 * time.Millisecond
-	maxFailedMoves   = 3 // Moves in a row without an answer that end the connection.
+	challengeTimeout = 500 * time.Millisecond // For the first packet of a probe to leave: it waits for nothing but the congestion window.
+	maxFailedMoves   = 3                      // Moves in a row without an answer that end the connection.
 	sessionPath      = "/.lagoondrum/session"
 )
 
@@ -155,34 +156,43 @@
 			if since.IsZero() || now.Sub(since) < silenceToMove {
 				continue
 			}
-			if lnk.move(dialer) {
+			err := lnk.move(dialer)
+			switch failed++; {
+			case err == nil:
 				failed = 0
-				continue
-			}
-			if failed++; failed >= maxFailedMoves {
+			case errors.Is(err, errUnsent):
+				_ = lnk.conn.CloseWithError(0, "path is silent and full")
+			case failed >= maxFailedMoves:
 				_ = lnk.conn.CloseWithError(0, "path is silent")
 			}
 		}
 	}
 }
 
-// move goes on from a new port once the agent answers there, and reports
-// whether it did.
-func (lnk *link) move(dialer Dialer) bool {
+// unsentError reports a probe that QUIC did not send, as unacknowledged packets
+// on the silent path fill the congestion window. Waiting cannot help.
+type unsentError struct{}
+
+func (unsentError) Error() string { return "the congestion window leaves no room for a probe" }
+
+var errUnsent error = unsentError{}
+
+// move goes on from a new port once the agent answers there.
+func (lnk *link) move(dialer Dialer) error {
 	pth, err := newPath(dialer, lnk.current().remote)
 	if err != nil {
-		return false
+		return err
 	}
 	err = lnk.probe(pth)
 	lnk.mu.Lock()
 	defer lnk.mu.Unlock()
 	if err != nil {
 		lnk.failed = append(lnk.failed, pth)
-		return false
+		return err
 	}
 	lnk.paths = append(lnk.paths, pth)
 	lnk.moves.Add(1)
-	return true
+	return nil
 }
 
 func (lnk *link) probe(pth *path) error {
@@ -192,6 +202,13 @@
 	}
 	ctx, cancel := context.WithTimeout(lnk.conn.Context(), probeTimeout)
 	defer cancel()
+	ctx, giveUp := context.WithCancelCause(ctx)
+	unsent := time.AfterFunc(challengeTimeout, func() {
+		if pth.sent.Load() == 0 {
+			giveUp(errUnsent)
+		}
+	})
+	defer unsent.Stop()
 	if err := next.Probe(ctx); err != nil {
 		// Left open, the path would keep its connection ID and its place before later probes.
 		return errors.CombineErrors(errors.WithStack(err), next.Close())
--- a/io/caller/link_test.go
+++ b/io/caller/link_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -12,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -77,16 +79,69 @@
 	return gte.PacketConn.WriteTo(data, to)
 }
 
-func TestConnectionOutlivesAMoveThatFailed(t *testing.T) {
+// testLink returns a connection to a test server over the sockets of a dialer.
+func testLink(t *testing.T, dialer Dialer) *link {
+	t.Helper()
 	addr := testServer(t)
-	gts := &gates{}
-	cln := New(Config{Address: addr.Addr(), Port: int(addr.Port()), TLS: &tls.Config{InsecureSkipVerify: true}, Dialer: gts})
-	defer cln.Close()
+	cln := New(Config{Address: addr.Addr(), Port: int(addr.Port()), TLS: &tls.Config{InsecureSkipVerify: true}, Dialer: dialer})
+	t.Cleanup(cln.Close)
 	lnk, err := cln.connected(context.Background())
 	assert.NilError(t, err)
+	return lnk
+}
 
-	assert.Assert(t, !lnk.move(gts), "the path of the first move is silent")
+func TestConnectionOutlivesAMoveThatFailed(t *testing.T) {
+	gts := &gates{}
+	lnk := testLink(t, gts)
+	assert.Assert(t, lnk.move(gts) != nil, "the path of the first move is silent")
 	assert.NilError(t, context.Cause(lnk.conn.Context()))
-	assert.Assert(t, lnk.move(gts), "the path of the second move answers")
+	assert.NilError(t, lnk.move(gts), "the path of the second move answers")
 	assert.NilError(t, context.Cause(lnk.conn.Context()))
 }
+
+// thinner loses the first copies of every datagram, as a fabric does that hands
+// them to dead balancers.
+type thinner struct{}
+
+type thinned struct {
+	net.PacketConn
+	mu   sync.Mutex
+	last []byte
+	seen int
+}
+
+func (*thinner) Dial() (net.PacketConn, error) {
+	pc, err := UDPDialer{}.Dial()
+	return &thinned{PacketConn: pc}, err
+}
+
+func (thn *thinned) WriteTo(data []byte, to net.Addr) (int, error) {
+	thn.mu.Lock()
+	defer thn.mu.Unlock()
+	if !bytes.Equal(data, thn.last) {
+		thn.last, thn.seen = bytes.Clone(data), 0
+	}
+	if thn.seen++; thn.seen < copies {
+		return len(data), nil
+	}
+	return thn.PacketConn.WriteTo(data, to)
+}
+
+func TestPathIsValidatedThoughCopiesAreLost(t *testing.T) {
+	lnk := testLink(t, UDPDialer{})
+	assert.NilError(t, lnk.move(&thinner{}))
+}
+
+// An upload fills the congestion window, and then QUIC has no room to probe
+// another path: the connection is given up for the next one at once.
+func TestFullSilentPathEndsItsConnectionAtOnce(t *testing.T) {
+	gts := &gates{}
+	lnk := testLink(t, gts)
+	gts.open[0].lossy.Store(true)
+	body := strings.NewReader(strings.Repeat("b", 1<<20))
+	req, err := http.NewRequest(http.MethodPost, "https://service/", body)
+	assert.NilError(t, err)
+	_, err = lnk.http.RoundTrip(req)
+	assert.ErrorContains(t, err, "full")
+	assert.Equal(t, len(lnk.failed), 1)
+}
--- a/io/caller/path.go
+++ b/io/caller/path.go
@@ -9,6 +9,13 @@
 	"github.com/quic-go/quic-go"
 )
 
+// Copies of datagrams on a path that may be losing them.
+const (
+	copies        = 3                      // The fabric hands each to a balancer of its own, and one of them may be dead.
+	freshPackets  = 16                     // Datagrams of a new path that are sent in copies: its validation both ways, which QUIC does not repeat by itself.
+	doubtfulAfter = 200 * time.Millisecond // Unanswered for this long, some of QUIC's own repeats are due.
+)
+
 // Dialer opens the socket that a path sends from.
 type Dialer interface {
 	Dial() (net.PacketConn, error)
@@ -29,6 +36,7 @@
 	net.PacketConn
 	remote    net.Addr
 	transport *quic.Transport
+	sent      atomic.Int64 // Datagrams, copies counted once.
 	askedAt   atomic.Int64 // When the first packet since the last answer was sent, ns; 0: none.
 }
 
@@ -60,11 +68,26 @@
 	return count, pth.remote, nil
 }
 
-// WriteTo sends a packet.
+// doubtful reports whether datagrams on the path may be lost: it is new, or it
+// has been silent for a while.
+func (pth *path) doubtful() bool {
+	since := pth.silentSince()
+	return pth.sent.Load() < freshPackets || !since.IsZero() && time.Since(since) >= doubtfulAfter
+}
+
+// WriteTo sends a packet, in copies while the path is in doubt. QUIC drops
+// duplicates.
 func (pth *path) WriteTo(data []byte, to net.Addr) (int, error) {
 	pth.askedAt.CompareAndSwap(0, time.Now().UnixNano())
-	if _, err := pth.PacketConn.WriteTo(data, to); err != nil && errors.Is(err, net.ErrClosed) {
-		return 0, err
+	times := 1
+	if pth.doubtful() {
+		times = copies
+	}
+	pth.sent.Add(1)
+	for range times {
+		if _, err := pth.PacketConn.WriteTo(data, to); err != nil && errors.Is(err, net.ErrClosed) {
+			return 0, err
+		}
 	}
 	return len(data), nil // Any other failed send is a lost packet: QUIC sends it again.
 }
