Queue openings at the agent while its upstream is full, those within their objective first

Cause: after a power loss all clients come back at once. The upstreams served them in the order of arrival, so for two to four seconds everyone was late, also whoever came after the outage, and what their queues did not hold was refused.

Change: an agent gives its upstream 1.75 requests a slot. Further openings wait at the agent (core/accept): those whose answer can still make the route's objective first, then by priority and arrival; refused at once when their turn would come too late, when the upstream drains or ends. The first agent without room refuses, the second has it wait.

Mended on the way, found by the packet machine once openings queue there: a packet was tried at an address that had become another service's (, TestNoTryAtAnAddressOfAnotherService); a flow of a service without any upstream was never reset (, TestFlowOfAServiceWithoutUpstreamsIsReset).

--- a/core/hop/hop.go
+++ b/core/hop/hop.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -26,11 +27,12 @@
 	Unsure                   // Agent to balancer: the agent's memory does not reach back far enough to tell.
 	Verdicts                 // Agent to balancer: the answers to a list of questions.
 	Gone                     // Agent to balancer: the flow has ended.
+	Queued                   // Agent to balancer: the opening waits until the upstream has room.
 	Beat                     // Both ways: the sender lives.
 	kindEnd
 )
 
-var kindNames = [...]string{"", "open", "data", "seek", "try", "opened", "refused", "held", "absent", "unsure", "verdicts", "gone", "beat"}
+var kindNames = [...]string{"", "open", "data", "seek", "try", "opened", "refused", "held", "absent", "unsure", "verdicts", "gone", "queued", "beat"}
 
 // String returns the kind's name in logs and metrics.
 func (knd Kind) String() string { return kindNames[knd] }
@@ -46,10 +48,11 @@
 	Down                // The upstream does not run.
 	Silent              // The upstream did not answer in time.
 	Bounced             // The upstream returned the packet.
+	Full                // The upstream has no room, or will not have it in time.
 	reasonEnd
 )
 
-var reasonNames = [...]string{"none", "otherService", "leaving", "down", "silent", "bounced"}
+var reasonNames = [...]string{"none", "otherService", "leaving", "down", "silent", "bounced", "full"}
 
 // String returns the reason's name in logs and metrics.
 func (rsn Reason) String() string { return reasonNames[rsn] }
@@ -61,6 +64,7 @@
 	flagDown                // The upstream beside the sender does not run.
 	flagAble                // The sender reads the platform.
 	flagFresh               // The sender has a state that was confirmed.
+	flagWaits               // The opening waits where it is sent if there is no room: other agents had none.
 )
 
 // HeaderBytes is the length of every header.
@@ -100,6 +104,8 @@
 	load        Load
 	incarnation uint64
 	revision    uint64
+	priority    uint8         // Of the route, in Open.
+	objective   time.Duration // Of the route, in Open.
 }
 
 // ServiceID returns the number that stands for a service's name in headers.
@@ -121,7 +127,7 @@
 	if len(data) < HeaderBytes || data[0] != version || data[1] == 0 || data[1] >= byte(kindEnd) || data[2] >= byte(reasonEnd) {
 		return Header{}, false
 	}
-	return Header{
+	hdr := Header{
 		kind:        Kind(data[1]),
 		reason:      Reason(data[2]),
 		flags:       data[3],
@@ -131,7 +137,13 @@
 		load:        Load{requests: binary.BigEndian.Uint16(data[28:]), flows: binary.BigEndian.Uint16(data[30:])},
 		incarnation: binary.BigEndian.Uint64(data[32:]),
 		revision:    binary.BigEndian.Uint64(data[40:]),
-	}, true
+	}
+	if hdr.kind == Open { // An opening names no revision.
+		hdr.priority = uint8(hdr.revision >> 32)
+		hdr.objective = time.Duration(uint32(hdr.revision)) * time.Millisecond
+		hdr.revision = 0
+	}
+	return hdr, true
 }
 
 // Put encodes the header at the start of buf, which holds HeaderBytes or more.
@@ -143,9 +155,23 @@
 	binary.BigEndian.PutUint16(buf[28:], hdr.load.requests)
 	binary.BigEndian.PutUint16(buf[30:], hdr.load.flows)
 	binary.BigEndian.PutUint64(buf[32:], hdr.incarnation)
-	binary.BigEndian.PutUint64(buf[40:], hdr.revision)
+	revision := hdr.revision
+	if hdr.kind == Open {
+		revision = uint64(hdr.priority)<<32 | uint64(uint32(hdr.objective.Milliseconds()))
+	}
+	binary.BigEndian.PutUint64(buf[40:], revision)
+}
+
+// WithUrgency returns the header of an opening on a route with a priority and a
+// latency objective, which is kept in whole milliseconds.
+func (hdr Header) WithUrgency(priority uint8, objective time.Duration) Header {
+	hdr.priority, hdr.objective = priority, objective
+	return hdr
 }
 
+// WithWaits returns the header of an opening that waits where it is sent.
+func (hdr Header) WithWaits() Header { hdr.flags |= flagWaits; return hdr }
+
 // WithReason returns the header with the reason of a refusal.
 func (hdr Header) WithReason(rsn Reason) Header { hdr.reason = rsn; return hdr }
 
@@ -175,6 +201,15 @@
 // WithFresh returns the header of a sender whose state was confirmed lately.
 func (hdr Header) WithFresh() Header { hdr.flags |= flagFresh; return hdr }
 
+// Priority returns the priority of an opening's route, 0 the highest.
+func (hdr Header) Priority() uint8 { return hdr.priority }
+
+// Objective returns the latency objective of an opening's route, 0 for none.
+func (hdr Header) Objective() time.Duration { return hdr.objective }
+
+// Waits reports whether an opening waits for room where it is sent.
+func (hdr Header) Waits() bool { return hdr.flags&flagWaits != 0 }
+
 // Kind returns what the datagram asks or tells.
 func (hdr Header) Kind() Kind { return hdr.kind }
 
--- a/core/hop/hop_test.go
+++ b/core/hop/hop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -13,6 +14,7 @@
 func TestHeaderSurvivesItsEncoding(t *testing.T) {
 	for name, hdr := range map[string]Header{
 		"refusal":   New(Refused, 7, key).WithReason(Bounced).WithLoad(NewLoad(24, 9)).WithDown(),
+		"opening":   New(Open, 7, key).WithUrgency(3, 250*time.Millisecond).WithWaits(),
 		"opened":    New(Opened, 7, key).WithSeq(5000),
 		"heartbeat": NewBeat(7, 1<<60, 12).WithLeaving(true).WithAble().WithFresh(),
 	} {
--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -20,9 +20,11 @@
 
 // Route leads the flows of one address to services.
 type Route struct {
-	name   string
-	shares []Share
-	total  int
+	name      string
+	shares    []Share
+	total     int
+	priority  uint8
+	objective time.Duration
 }
 
 // NewRoute returns a route over the shares whose weight is above 0.
@@ -37,6 +39,19 @@
 	return rte
 }
 
+// WithUrgency sets how urgent the route's requests are, 0 the most, and the
+// latency objective of their answers, and returns the route.
+func (rte *Route) WithUrgency(priority uint8, objective time.Duration) *Route {
+	rte.priority, rte.objective = priority, objective
+	return rte
+}
+
+// Priority returns how urgent the route's requests are, 0 the most.
+func (rte *Route) Priority() uint8 { return rte.priority }
+
+// Objective returns the latency objective of answers, 0 when there is none.
+func (rte *Route) Objective() time.Duration { return rte.objective }
+
 // Name returns the route's name.
 func (rte *Route) Name() string { return rte.name }
 
--- a/core/owner/balancer.go
+++ b/core/owner/balancer.go
@@ -1,8 +1,10 @@
 package owner
 
 import (
+	"bytes"
 	"time"
 
+	"lagoondrum/core/accept"
 	"lagoondrum/core/flow"
 	"lagoondrum/core/hop"
 )
@@ -55,13 +57,23 @@
 	rec := bok.records[key]
 	if rec == nil || rec.first != pkt.Seq() || rec.phase == closed || rec.phase == trying {
 		bok.drop(key, now)
-		rec = &record{phase: opening, first: pkt.Seq(), deadline: now.Add(answerTime)}
+		rec = &record{first: pkt.Seq(), via: from, idleAt: now.Add(bok.idle)}
 		bok.records[key] = rec
-		bok.waiting[key] = rec
 		delete(bok.denied, key)
+		if bok.full() || bok.room.queue.Len() > 0 {
+			opn := accept.NewOpening(key, pkt, bytes.Clone(raw), hdr.Priority(), hdr.Objective(), now)
+			bok.enqueue(key, rec, hdr, opn, now)
+			return
+		}
+		bok.begin(key, rec, pkt, raw, now)
+		return
 	}
 	rec.via = from
 	rec.idleAt = now.Add(bok.idle)
+	if rec.phase == queued {
+		bok.tell(from, hop.New(hop.Queued, bok.service, key), nil, now)
+		return
+	}
 	bok.deliver(key, pkt, raw, now)
 	if rec.opened {
 		bok.tellOpened(key, rec, now)
@@ -72,6 +84,14 @@
 	switch {
 	case hdr.Service() != bok.service:
 		return hop.OtherService
+	default:
+		return bok.closedFor()
+	}
+}
+
+// closedFor returns why the upstream takes no new flows, if it takes none.
+func (bok *Book) closedFor() hop.Reason {
+	switch {
 	case bok.leaving:
 		return hop.Leaving
 	case bok.down:
@@ -113,7 +133,7 @@
 // only the acknowledgement tells whom the client chose.
 func (rec *record) holds(ack uint32) bool {
 	switch rec.phase {
-	case opening:
+	case queued, opening:
 		return false
 	case half:
 		return flow.Answers(ack, rec.seq, rec.sent)
@@ -152,6 +172,7 @@
 	}
 	if pkt.Size() > 0 && rec.phase != closed {
 		bok.meter.begin(rec, now)
+		delete(bok.room.pledges, pkt.FromClient())
 	}
 	if pkt.Has(flow.Fin) {
 		rec.finDown = true
--- a/core/owner/book.go
+++ b/core/owner/book.go
@@ -17,6 +17,7 @@
 	trialTime   = 250 * time.Millisecond // For an upstream to answer or return a packet of an unknown flow; clients repeat after 200 ms.
 	deniedTime  = 10 * time.Second       // A returned flow is known not to be here for this long.
 	closedTime  = 5 * time.Second        // A closed flow is kept, for late repeats of its last packets; the repeats end after 3.2 s.
+	stalledTime = 2 * time.Second        // A request without a packet either way for this long is not under way: its client has left, or its upstream has lost it.
 	sweepEvery  = time.Second            // Between two looks for flows that have expired.
 	openSilence = 60 * time.Millisecond  // For an opening packet without an answer before the upstream is probed; see answerTime.
 	dataSilence = 300 * time.Millisecond // The same for data, whose acknowledgement may wait for the next packet or the answer.
@@ -28,7 +29,8 @@
 type phase uint8
 
 const (
-	opening phase = iota + 1 // The opening packet was delivered.
+	queued  phase = iota + 1 // The opening packet waits for room.
+	opening                  // The opening packet was delivered.
 	half                     // The upstream answered it.
 	trying                   // A packet of an unknown flow was delivered.
 	open
@@ -49,6 +51,7 @@
 	first    uint32 // The client's first sequence number.
 	ack      uint32 // The client's last acknowledgement.
 	via      flow.End
+	askedAt  time.Time // When the request that waits for its answer began.
 	deadline time.Time // For an answer, while opening or trying.
 	idleAt   time.Time // When the record expires.
 }
@@ -69,6 +72,7 @@
 	probeAt   time.Time
 	sweepAt   time.Time
 	meter     meter
+	room      room
 	out       []Action
 }
 
@@ -84,6 +88,7 @@
 		records:   make(map[flow.Key]*record),
 		denied:    make(map[flow.Key]time.Time),
 		waiting:   make(map[flow.Key]*record),
+		room:      room{pledges: make(map[flow.Key]time.Time)},
 	}
 }
 
@@ -122,7 +127,9 @@
 func (bok *Book) Flows() int { return len(bok.records) }
 
 // Load returns how busy the upstream is.
-func (bok *Book) Load(now time.Time) hop.Load { return bok.meter.load(now, len(bok.records)) }
+func (bok *Book) Load(now time.Time) hop.Load {
+	return bok.meter.load(now, bok.room.queue.Len(), len(bok.records))
+}
 
 // Take returns the actions since the last call. They are valid until the next
 // event.
@@ -141,6 +148,10 @@
 func (bok *Book) drop(key flow.Key, now time.Time) {
 	if rec := bok.records[key]; rec != nil {
 		bok.meter.end(rec, now)
+		if rec.phase == queued {
+			bok.room.queue.Remove(key)
+		}
+		delete(bok.room.pledges, key)
 		delete(bok.records, key)
 		delete(bok.waiting, key)
 	}
--- a/core/owner/meter.go
+++ b/core/owner/meter.go
@@ -24,6 +24,7 @@
 func (mtr *meter) begin(rec *record, now time.Time) {
 	if !rec.busy {
 		rec.busy = true
+		rec.askedAt = now
 		mtr.advance(now)
 		mtr.running++
 	}
@@ -45,9 +46,10 @@
 	}
 }
 
-// load returns the larger of the average and what runs now: a burst counts at
-// once, its end with delay.
-func (mtr *meter) load(now time.Time, flows int) hop.Load {
+// load returns the larger of the average and what runs now, so that a burst
+// counts at once and its end with delay, and on top of it what is queued.
+func (mtr *meter) load(now time.Time, queued, flows int) hop.Load {
 	mtr.advance(now)
-	return hop.NewLoad(int(max(mtr.average, float64(mtr.running))*sixteenths), flows)
+	requests := max(mtr.average, float64(mtr.running)) + float64(queued)
+	return hop.NewLoad(int(requests*sixteenths), flows)
 }
--- /dev/null
+++ b/core/owner/room.go
@@ -0,0 +1,115 @@
+package owner
+
+import (
+	"time"
+
+	"lagoondrum/core/accept"
+	"lagoondrum/core/flow"
+	"lagoondrum/core/hop"
+)
+
+// Limits of what an upstream is given at once.
+const (
+	roundsAhead = 1.75                   // Requests for each slot: one runs, and some wait, so that no slot is idle while the next request is on its way.
+	pledgeTime  = 100 * time.Millisecond // For the first request to follow its opening: a client's round trip, and the way of its packets.
+	answerGain  = 0.1                    // Of the moving average of how long requests take.
+)
+
+// room is what an upstream has room for. Openings beyond it wait in a queue of
+// the agent's, where their order can be chosen; in the upstream's own queue they
+// are served as they came, and when that is full they are refused.
+type room struct {
+	slots   int // 0: not known, and nothing waits.
+	queue   accept.Queue
+	pledges map[flow.Key]time.Time // Openings delivered whose first request has not come, and until when it is expected.
+	answer  time.Duration          // Moving average of how long requests take.
+}
+
+// SetSlots sets how many requests the upstream runs at once.
+func (bok *Book) SetSlots(slots int) { bok.room.slots = slots }
+
+// Queued returns how many openings wait for room at the upstream.
+func (bok *Book) Queued() int { return bok.room.queue.Len() }
+
+// limit returns how many requests the upstream is given at once.
+func (rom *room) limit() int { return max(int(roundsAhead*float64(rom.slots)), rom.slots+1) }
+
+// full reports whether the upstream has no room for another opening.
+func (bok *Book) full() bool {
+	return bok.room.slots > 0 && bok.meter.running+len(bok.room.pledges) >= bok.room.limit()
+}
+
+// noteAnswer takes how long a request took into the average.
+func (rom *room) noteAnswer(took time.Duration) {
+	rom.answer += time.Duration(answerGain * float64(took-rom.answer))
+}
+
+// enqueue has an opening wait for room, or refuses it when it would wait in
+// vain. An opening that other agents can still take is refused in any case.
+func (bok *Book) enqueue(key flow.Key, rec *record, hdr hop.Header, opn accept.Opening, now time.Time) {
+	every := bok.room.answer / time.Duration(bok.room.limit())
+	if !hdr.Waits() || bok.room.queue.Hopeless(every) {
+		bok.drop(key, now)
+		bok.tell(rec.via, hop.New(hop.Refused, bok.service, key).WithReason(hop.Full), nil, now)
+		return
+	}
+	rec.phase = queued
+	bok.room.queue.Add(opn)
+	bok.tell(rec.via, hop.New(hop.Queued, bok.service, key), nil, now)
+}
+
+// admit delivers openings that wait while the upstream has room.
+func (bok *Book) admit(now time.Time) {
+	if rsn := bok.closedFor(); rsn != hop.NoReason {
+		bok.emptyRoom(rsn, now)
+		return
+	}
+	for bok.room.queue.Len() > 0 && !bok.full() {
+		opn := bok.room.queue.Next(bok.room.answer, now)
+		if rec := bok.records[opn.Key()]; rec != nil {
+			bok.begin(opn.Key(), rec, opn.Packet(), opn.Raw(), now)
+		}
+	}
+}
+
+// begin delivers an opening to the upstream.
+func (bok *Book) begin(key flow.Key, rec *record, pkt flow.Packet, raw []byte, now time.Time) {
+	rec.phase = opening
+	rec.deadline = now.Add(answerTime)
+	bok.waiting[key] = rec
+	bok.room.pledges[key] = now.Add(pledgeTime)
+	bok.deliver(key, pkt, raw, now)
+}
+
+// sweepRoom lets go of openings whose clients have given up, and of pledges that
+// were not kept.
+func (bok *Book) sweepRoom(now time.Time) {
+	for key, until := range bok.room.pledges {
+		if !now.Before(until) {
+			delete(bok.room.pledges, key)
+		}
+	}
+	for {
+		opn, found := bok.room.queue.Expired(now)
+		if !found {
+			return
+		}
+		bok.refuseQueued(opn, hop.Full, now)
+	}
+}
+
+// emptyRoom refuses all that waits: the upstream takes no new flows any more.
+func (bok *Book) emptyRoom(rsn hop.Reason, now time.Time) {
+	for bok.room.queue.Len() > 0 {
+		bok.refuseQueued(bok.room.queue.Next(0, now), rsn, now)
+	}
+}
+
+func (bok *Book) refuseQueued(opn accept.Opening, rsn hop.Reason, now time.Time) {
+	rec := bok.records[opn.Key()]
+	if rec == nil {
+		return
+	}
+	bok.drop(opn.Key(), now)
+	bok.tell(rec.via, hop.New(hop.Refused, bok.service, opn.Key()).WithReason(rsn), nil, now)
+}
--- a/core/owner/upstream.go
+++ b/core/owner/upstream.go
@@ -9,6 +9,11 @@
 
 // FromUpstream handles a packet that the upstream wrote or returned.
 func (bok *Book) FromUpstream(pkt flow.Packet, raw []byte, now time.Time) {
+	bok.fromUpstream(pkt, raw, now)
+	bok.admit(now)
+}
+
+func (bok *Book) fromUpstream(pkt flow.Packet, raw []byte, now time.Time) {
 	bok.silentBy = time.Time{}
 	bok.down = false
 	if pkt.Has(flow.Bounced) {
@@ -62,7 +67,8 @@
 	if rec.phase == half && pkt.End()-rec.seq > rec.sent-rec.seq {
 		rec.sent = pkt.End()
 	}
-	if pkt.Size() > 0 {
+	if pkt.Size() > 0 && rec.busy {
+		bok.room.noteAnswer(now.Sub(rec.askedAt))
 		bok.meter.end(rec, now)
 	}
 	if pkt.Has(flow.Fin) {
--- a/core/owner/watch.go
+++ b/core/owner/watch.go
@@ -11,6 +11,8 @@
 func (bok *Book) Tick(now time.Time) {
 	bok.checkWaiting(now)
 	bok.watchUpstream(now)
+	bok.sweepRoom(now)
+	bok.admit(now) // Before doomed flows go: whoever waits is told.
 	bok.resetDoomed()
 	if !now.Before(bok.sweepAt) {
 		bok.sweepAt = now.Add(sweepEvery)
@@ -123,6 +125,8 @@
 	for key, rec := range bok.records {
 		if !now.Before(rec.idleAt) {
 			bok.drop(key, now)
+		} else if now.Sub(rec.idleAt.Add(-bok.idle)) >= stalledTime {
+			bok.meter.end(rec, now)
 		}
 	}
 	for key, until := range bok.denied {
@@ -134,5 +138,5 @@
 
 // Busy reports whether a tick is due soon: answers are awaited.
 func (bok *Book) Busy() bool {
-	return len(bok.waiting) > 0 || len(bok.doomed) > 0 || !bok.silentBy.IsZero()
+	return len(bok.waiting) > 0 || bok.room.queue.Len() > 0 || len(bok.doomed) > 0 || !bok.silentBy.IsZero()
 }
--- a/core/proof/packets_scene_test.go
+++ b/core/proof/packets_scene_test.go
@@ -19,6 +19,7 @@
 // The scene of the packet machine: two services with their VMs, and balancers.
 const (
 	sceneVMs       = 5
+	sceneSlots     = 1 // So that openings wait for room.
 	sceneBalancers = 2
 	sceneTick      = 10 * time.Millisecond
 	sceneBeat      = 250 * time.Millisecond
@@ -112,6 +113,7 @@
 	strays   int       // How many of its packets reached other upstreams.
 	watched  bool      // Strays are being counted.
 	ownAt    time.Time // When one last reached its own.
+	usedAt   time.Time // When its upstream last took one.
 }
 
 // scene plays the system in virtual time.
@@ -279,6 +281,7 @@
 	vm := scn.vms[at]
 	vm.agentLife++
 	vm.book = owner.New(hop.ServiceID(sceneServices[vm.service]), sceneIdle, scn.now, complete || scn.rules.trustEmptyMemory)
+	vm.book.SetSlots(sceneSlots)
 	if !scn.rules.ignoreDrain {
 		vm.book.SetLeaving(vm.draining)
 	}
--- a/core/proof/packets_test.go
+++ b/core/proof/packets_test.go
@@ -28,7 +28,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"open": func(t *rapid.T) {
 				scn.t = t
-				for range rapid.IntRange(1, 4).Draw(t, "count") {
+				for range rapid.IntRange(1, 12).Draw(t, "count") {
 					scn.open(rapid.IntRange(0, 1).Draw(t, "service"))
 				}
 				scn.run(scn.span(t))
--- a/core/proof/packets_world_test.go
+++ b/core/proof/packets_world_test.go
@@ -38,6 +38,7 @@
 		return
 	}
 	held.open = true
+	flw.usedAt = scn.now
 	if flw.vm < 0 {
 		flw.vm, flw.life, flw.ownAt = at, vm.life, scn.now
 	}
@@ -75,9 +76,13 @@
 	}
 	vm := scn.vms[flw.vm]
 	held := vm.holds[flw.key]
-	return vm.up && vm.life == flw.life && held != nil && held.open
+	return vm.up && vm.life == flw.life && held != nil && held.open && !scn.expired(flw)
 }
 
+// expired reports whether a flow has been idle for so long that it may be
+// discarded.
+func (scn *scene) expired(flw *sceneFlow) bool { return scn.now.Sub(flw.usedAt) > sceneIdle }
+
 // inTouch reports whether nothing unplanned was done to the flow's VM and
 // balancer lately.
 func (scn *scene) inTouch(flw *sceneFlow) bool {
--- a/core/track/action.go
+++ b/core/track/action.go
@@ -24,7 +24,7 @@
 const (
 	NoCause      Cause = iota
 	NoRoute            // The desired state has no route for the address.
-	NoUpstream         // No upstream of the service takes new flows.
+	NoUpstream         // No upstream of the service takes new flows, or is there to hold the flow.
 	AllRefused         // Every agent of the service refused the flow.
 	FlowGone           // The upstream of the flow has ended, or does not hold it any more.
 	AllDenied          // Every agent that could hold the flow denies it.
@@ -37,6 +37,7 @@
 	RepeatedOpen       // The client repeated its opening; the next agent is asked.
 	Asked              // An agent is asked to open the flow: the best by load and zone.
 	Answered           // The upstream answered the opening.
+	Queued             // The opening waits at an agent until its upstream has room.
 	causeEnd
 )
 
@@ -46,7 +47,7 @@
 var causeNames = [Causes]string{
 	"none", "noRoute", "noUpstream", "allRefused", "flowGone", "allDenied", "noHint", "hintWrong",
 	"found", "notFound", "refusal", "unanswered", "repeatedOpen",
-	"asked", "answered",
+	"asked", "answered", "queued",
 }
 
 // String returns the cause's name in logs and metrics.
--- a/core/track/opener.go
+++ b/core/track/opener.go
@@ -26,7 +26,7 @@
 	hash := place.Hash(key)
 	service := rte.Pick(hash)
 	tbl.remove(key)
-	ent = &entry{phase: opening, hash: hash, service: service, id: hop.ServiceID(service), first: pkt.Seq(), opener: bytes.Clone(raw)}
+	ent = &entry{phase: opening, hash: hash, service: service, id: hop.ServiceID(service), route: rte, first: pkt.Seq(), opener: bytes.Clone(raw)}
 	tbl.put(key, ent)
 	tbl.pending[key] = ent
 	tbl.next(key, ent, now)
@@ -40,6 +40,10 @@
 		return
 	}
 	tbl.pending[key] = ent
+	if ent.queued {
+		tbl.sendOpening(ent.tries[len(ent.tries)-1].ip, key, ent)
+		return
+	}
 	tbl.notice(key, RepeatedOpen, [4]byte{})
 	ent.copyTries = 0
 	tbl.next(key, ent, now)
@@ -62,7 +66,15 @@
 	ent.deadline = now.Add(tbl.answers.limit())
 	agt.NoteOpening()
 	tbl.notice(key, Asked, agt.IP())
-	tbl.send(agt.IP(), hop.Open, ent.id, key, ent.opener)
+	tbl.sendOpening(agt.IP(), key, ent)
+}
+
+func (tbl *Table) sendOpening(ip [4]byte, key flow.Key, ent *entry) {
+	hdr := hop.New(hop.Open, ent.id, key).WithUrgency(ent.route.Priority(), ent.route.Objective())
+	if ent.waits {
+		hdr = hdr.WithWaits()
+	}
+	tbl.out = append(tbl.out, Action{kind: Send, agent: ip, key: key, header: hdr, packet: ent.opener})
 }
 
 func (tbl *Table) choose(ent *entry, now time.Time) *fleet.Agent {
@@ -109,6 +121,7 @@
 		return
 	}
 	last := ent.tries[len(ent.tries)-1].ip
+	ent.queued = false
 	if agt := tbl.fleet.Agent(last); agt != nil {
 		agt.NoteMiss(now)
 	}
@@ -148,5 +161,23 @@
 		return
 	}
 	tbl.notice(key, Refusal, from)
+	ent.queued = false
+	if hdr.Reason() == hop.Full && !ent.waits {
+		ent.waits = true
+		ent.tries = ent.tries[:len(ent.tries)-1] // By the load that it told it may still be the best to wait at.
+	}
 	tbl.next(key, ent, now)
 }
+
+// queued handles an agent's word that an opening waits until its upstream has
+// room. The client's copies go there too, and no other agent is asked.
+func (tbl *Table) queued(key flow.Key, ent *entry, from [4]byte, now time.Time) {
+	if ent.phase != opening || len(ent.tries) == 0 || ent.tries[len(ent.tries)-1].ip != from {
+		return
+	}
+	if !ent.queued {
+		tbl.notice(key, Queued, from)
+	}
+	ent.queued = true
+	ent.deadline = now.Add(queueTime)
+}
--- a/core/track/seek.go
+++ b/core/track/seek.go
@@ -36,6 +36,8 @@
 		tbl.opened(key, ent, hdr, from, now)
 	case hop.Refused:
 		tbl.refused(key, ent, hdr, from, now)
+	case hop.Queued:
+		tbl.queued(key, ent, from, now)
 	case hop.Held:
 		tbl.held(key, ent, hdr, from)
 	case hop.Absent:
@@ -56,7 +58,7 @@
 	switch {
 	case hdr.Kind() == hop.Opened:
 		agt.NoteTaken()
-	case hdr.Kind() == hop.Refused && hdr.Reason() != hop.Leaving:
+	case hdr.Kind() == hop.Refused && hdr.Reason() != hop.Leaving && hdr.Reason() != hop.Full:
 		agt.NoteMiss(now)
 	}
 }
@@ -108,6 +110,8 @@
 	agts := tbl.candidates(key, ent)
 	switch {
 	case tbl.concluded(key, ent, agts, now):
+	case len(agts) == 0 && !now.Before(ent.search.giveUpAt):
+		tbl.forgetWith(key, ent, NoUpstream, now)
 	case !now.Before(ent.search.giveUpAt):
 		tbl.notice(key, NotFound, [4]byte{})
 		tbl.remove(key)
@@ -128,7 +132,7 @@
 		ip := sch.unsure[0]
 		sch.unsure = sch.unsure[1:]
 		agt := tbl.fleet.Agent(ip)
-		if agt == nil || slices.Contains(sch.denied, ip) {
+		if agt == nil || slices.Contains(sch.denied, ip) || !slices.Contains(tbl.services(key, ent), agt.Server().Service()) {
 			continue
 		}
 		sch.trying = ip
@@ -170,11 +174,7 @@
 // candidates returns every agent that may hold a flow, the likeliest first.
 func (tbl *Table) candidates(key flow.Key, ent *entry) []*fleet.Agent {
 	var agts []*fleet.Agent
-	names := tbl.board.Holders(key.Service())
-	if ent.service != "" && !slices.Contains(names, ent.service) {
-		names = append(names, ent.service)
-	}
-	for _, name := range names {
+	for _, name := range tbl.services(key, ent) {
 		agts = append(agts, tbl.fleet.Service(name)...)
 	}
 	if len(agts) > firstWave {
@@ -184,6 +184,15 @@
 	return agts
 }
 
+// services returns the services whose upstreams may hold a flow.
+func (tbl *Table) services(key flow.Key, ent *entry) []string {
+	names := tbl.board.Holders(key.Service())
+	if ent.service != "" && !slices.Contains(names, ent.service) {
+		names = append(names, ent.service)
+	}
+	return names
+}
+
 // concluded resets a flow that every agent which could hold it denies. Agents
 // that are dead need not be heard; one that lives and has not answered must.
 func (tbl *Table) concluded(key flow.Key, ent *entry, agts []*fleet.Agent, now time.Time) bool {
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -17,13 +17,14 @@
 const (
 	seekWave   = 100 * time.Millisecond // Between two rounds of asking the agents about a flow.
 	seekTime   = 2500 * time.Millisecond
-	goneTime   = 5 * time.Second  // A flow that ended is remembered for late packets.
-	turnEvery  = 20 * time.Second // Hints without packets for one to two of these are forgotten.
-	maxHints   = 200_000          // Hints of one turn: 30 MB at most.
-	maxQueue   = 24               // Packets that wait while a flow is sought; a client has 16 under way.
-	maxSeeking = 4096             // Flows that are sought at once.
-	firstWave  = 16               // Agents asked first; all of a small service.
-	triesACopy = 2                // Agents that are asked to open a flow for each copy of its opening.
+	goneTime   = 5 * time.Second         // A flow that ended is remembered for late packets.
+	turnEvery  = 20 * time.Second        // Hints without packets for one to two of these are forgotten.
+	maxHints   = 200_000                 // Hints of one turn: 30 MB at most.
+	maxQueue   = 24                      // Packets that wait while a flow is sought; a client has 16 under way.
+	maxSeeking = 4096                    // Flows that are sought at once.
+	queueTime  = 1400 * time.Millisecond // For an opening that waits at an agent: its client then gives up.
+	firstWave  = 16                      // Agents asked first; all of a small service.
+	triesACopy = 2                       // Agents that are asked to open a flow for each copy of its opening.
 )
 
 type phase uint8
@@ -51,10 +52,13 @@
 type entry struct {
 	phase     phase
 	silent    bool // An agent left the opening unanswered, or said so of its upstream.
+	waits     bool // An agent had no room: the next one asked has the opening wait.
+	queued    bool // The opening waits at the agent asked last.
 	hash      uint64
-	service   string // Empty until it is known.
-	id        uint64 // The service's number in headers.
-	first     uint32 // The client's first sequence number.
+	service   string        // Empty until it is known.
+	id        uint64        // The service's number in headers.
+	route     *intent.Route // Of an opening.
+	first     uint32        // The client's first sequence number.
 	ack       uint32
 	opener    []byte
 	tries     []attempt
--- a/core/track/table_test.go
+++ b/core/track/table_test.go
@@ -216,3 +216,73 @@
 	ant.note(time.Millisecond)
 	assert.Assert(t, ant.limit() < maxAnswer)
 }
+
+// A flow of a service without any upstream is gone. Its client is told once lists
+// that lag have had time to name one.
+func TestFlowOfAServiceWithoutUpstreamsIsReset(t *testing.T) {
+	bch := newBench(0)
+	bch.data(1, start)
+	bch.Tick(start.Add(seekTime - time.Millisecond))
+	assertResets(t, bch.Take())
+	bch.Tick(start.Add(2 * seekTime))
+	assertResets(t, bch.Take(), NoUpstream)
+}
+
+// An agent that could not tell, and whose address has become another service's
+// since, does not get the packet.
+func TestNoTryAtAnAddressOfAnotherService(t *testing.T) {
+	bch := newBench(3)
+	bch.data(1, start)
+	for num := range 2 {
+		bch.tell(hop.New(hop.Unsure, feed, keyOf(1)), vm(num+1), start)
+	}
+	bch.list(1, "other", 2)
+	acts := sends(bch.tell(hop.New(hop.Absent, feed, keyOf(1)), vm(3), start))
+	assert.Equal(t, len(acts), 1)
+	assert.Equal(t, acts[0].Agent(), vm(2))
+}
+
+// refuseFull has the agent that was asked last say that it has no room.
+func (bch *bench) refuseFull(num int, asked []Action, now time.Time) []Action {
+	return bch.tell(hop.New(hop.Refused, feed, keyOf(num)).WithReason(hop.Full), asked[0].Agent(), now)
+}
+
+func TestOpeningWaitsAtTheSecondAgentAsked(t *testing.T) {
+	bch := newBench(3)
+	asked := bch.open(1, 0, start)
+	assert.Assert(t, !asked[0].Header().Waits())
+	asked = sends(bch.refuseFull(1, asked, start))
+	assert.Assert(t, asked[0].Header().Waits())
+	holder := asked[0].Agent()
+	bch.tell(hop.New(hop.Queued, feed, keyOf(1)), holder, start)
+
+	bch.Tick(start.Add(time.Second))
+	assert.Equal(t, len(sends(bch.Take())), 0) // It is not asked of others meanwhile.
+	copies := bch.open(1, 1, start.Add(time.Second))
+	assert.Equal(t, len(copies), 1)
+	assert.Equal(t, copies[0].Agent(), holder)
+}
+
+func TestOpeningWaitsAtTheOnlyAgent(t *testing.T) {
+	bch := newBench(1)
+	asked := sends(bch.refuseFull(1, bch.open(1, 0, start), start))
+	assert.Equal(t, asked[0].Agent(), vm(1))
+	assert.Assert(t, asked[0].Header().Waits())
+}
+
+func TestOpeningThatNoAgentHasRoomForIsResetAtOnce(t *testing.T) {
+	bch := newBench(3)
+	acts := bch.open(1, 0, start)
+	for len(sends(acts)) > 0 {
+		acts = bch.refuseFull(1, sends(acts), start)
+	}
+	assertResets(t, acts, AllRefused)
+}
+
+// No room is no evidence against an upstream.
+func TestFullAgentIsSound(t *testing.T) {
+	bch := newBench(2)
+	asked := bch.open(1, 0, start)
+	bch.refuseFull(1, asked, start)
+	assert.Assert(t, bch.fleet.Agent(asked[0].Agent()).Sound(start))
+}
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -174,6 +174,7 @@
 		agt.log.Info("own upstream", zap.String("id", srv.ID()), zap.String("service", srv.Service()), zap.Bool("draining", leaving))
 	}
 	agt.book.SetLeaving(leaving)
+	agt.book.SetSlots(srv.Slots())
 	if !agt.book.Complete() && srv.StartedAfter(agt.startedAt.Add(-startSlack)) {
 		agt.book.SetComplete()
 		agt.log.Info("record is complete: the upstream started with this agent", zap.String("id", srv.ID()))
@@ -313,7 +314,7 @@
 	agt.meter.told(hdr)
 	if ent := agt.log.Check(zap.InfoLevel, "flow "+hdr.Kind().String()); ent != nil {
 		ent.Write(zap.Stringer("flow", hdr.Key()), zap.Stringer("balancer", act.Peer()), zap.Stringer("reason", hdr.Reason()),
-			zap.Float64("requests", hdr.Load().Requests()), zap.Int("flows", hdr.Load().Flows()), zap.Bool("complete", agt.book.Complete()))
+			zap.Float64("requests", hdr.Load().Requests()), zap.Int("queued", agt.book.Queued()), zap.Int("flows", hdr.Load().Flows()), zap.Bool("complete", agt.book.Complete()))
 	}
 }
 
@@ -360,6 +361,7 @@
 	}
 	agt.gaugeAt = now.Add(gaugeInterval)
 	agt.gauges.hold("flowsRecorded", float64(agt.book.Flows()))
+	agt.gauges.hold("openingsQueued", float64(agt.book.Queued()))
 	agt.gauges.hold("requestsUnderWay", agt.book.Load(now).Requests())
 	agt.gauges.holdCommon(agt.base, now)
 }
