--- a/core/owner/balancer.go
+++ b/core/owner/balancer.go
@@ -172,7 +172,7 @@
 	}
 	if pkt.Size() > 0 && rec.phase != closed {
 		bok.meter.begin(rec, now)
-		delete(bok.room.pledges, pkt.FromClient())
+		bok.room.noteFollowed(pkt.FromClient(), now.Sub(rec.begunAt))
 	}
 	if pkt.Has(flow.Fin) {
 		rec.finDown = true
--- a/core/owner/book.go
+++ b/core/owner/book.go
@@ -43,6 +43,7 @@
 	opened   bool // Opened was told.
 	refused  bool // Silent was told.
 	busy     bool // A request waits for its answer.
+	answered bool // A request was answered.
 	data     bool // The packet of a trial came as Data.
 	finUp    bool
 	finDown  bool
@@ -51,6 +52,7 @@
 	first    uint32 // The client's first sequence number.
 	ack      uint32 // The client's last acknowledgement.
 	via      flow.End
+	begunAt  time.Time // When the opening packet was delivered.
 	askedAt  time.Time // When the request that waits for its answer began.
 	deadline time.Time // For an answer, while opening or trying.
 	idleAt   time.Time // When the record expires.
@@ -88,7 +90,7 @@
 		records:   make(map[flow.Key]*record),
 		denied:    make(map[flow.Key]time.Time),
 		waiting:   make(map[flow.Key]*record),
-		room:      room{pledges: make(map[flow.Key]time.Time)},
+		room:      room{pledges: make(map[flow.Key]time.Time), follow: maxPledge / pledgeSpan},
 	}
 }
 
--- a/core/owner/meter.go
+++ b/core/owner/meter.go
@@ -17,6 +17,7 @@
 // meter counts the requests that wait for an answer of the upstream.
 type meter struct {
 	running int
+	first   int // Of those running, the first of their flows.
 	average float64
 	at      time.Time
 }
@@ -27,6 +28,9 @@
 		rec.askedAt = now
 		mtr.advance(now)
 		mtr.running++
+		if !rec.answered {
+			mtr.first++
+		}
 	}
 }
 
@@ -35,6 +39,10 @@
 		rec.busy = false
 		mtr.advance(now)
 		mtr.running--
+		if !rec.answered {
+			mtr.first--
+			rec.answered = true
+		}
 	}
 }
 
--- a/core/owner/room.go
+++ b/core/owner/room.go
@@ -10,9 +10,11 @@
 
 // Limits of what an upstream is given at once.
 const (
-	roundsAhead = 1.75                   // Requests for each slot: one runs, and some wait, so that no slot is idle while the next request is on its way.
-	pledgeTime  = 100 * time.Millisecond // For the first request to follow its opening: a client's round trip, and the way of its packets.
-	answerGain  = 0.1                    // Of the moving average of how long requests take.
+	roundsAhead = 1.75                  // Requests for each slot: one runs, and some wait, so that no slot is idle while the next request is on its way.
+	minPledge   = 10 * time.Millisecond // Bounds of how long room is kept for the first request after its opening.
+	maxPledge   = 100 * time.Millisecond
+	pledgeSpan  = 3   // Times the usual time from an opening to its request that room is kept.
+	answerGain  = 0.1 // Of the moving averages of times.
 )
 
 // room is what an upstream has room for. Openings beyond it wait in a queue of
@@ -22,6 +24,7 @@
 	slots   int // 0: not known, and nothing waits.
 	queue   accept.Queue
 	pledges map[flow.Key]time.Time // Openings delivered whose first request has not come, and until when it is expected.
+	follow  time.Duration          // Moving average of the time from an opening to its request: a client's round trip.
 	answer  time.Duration          // Moving average of how long requests take.
 }
 
@@ -34,9 +37,12 @@
 // limit returns how many requests the upstream is given at once.
 func (rom *room) limit() int { return max(int(roundsAhead*float64(rom.slots)), rom.slots+1) }
 
-// full reports whether the upstream has no room for another opening.
+// full reports whether the upstream has no room for another opening. Requests on
+// flows that are open come in any case; however many they are, half of the limit
+// is for new flows.
 func (bok *Book) full() bool {
-	return bok.room.slots > 0 && bok.meter.running+len(bok.room.pledges) >= bok.room.limit()
+	pledged, limit := len(bok.room.pledges), bok.room.limit()
+	return bok.room.slots > 0 && bok.meter.running+pledged >= limit && bok.meter.first+pledged >= limit/2
 }
 
 // noteAnswer takes how long a request took into the average.
@@ -44,6 +50,19 @@
 	rom.answer += time.Duration(answerGain * float64(took-rom.answer))
 }
 
+// keep keeps room for the request that follows an opening.
+func (rom *room) keep(key flow.Key, now time.Time) {
+	rom.pledges[key] = now.Add(min(max(pledgeSpan*rom.follow, minPledge), maxPledge))
+}
+
+// noteFollowed lets go of the room that was kept for a flow's request.
+func (rom *room) noteFollowed(key flow.Key, took time.Duration) {
+	if _, kept := rom.pledges[key]; kept {
+		delete(rom.pledges, key)
+		rom.follow += time.Duration(answerGain * float64(took-rom.follow))
+	}
+}
+
 // enqueue has an opening wait for room, or refuses it when it would wait in
 // vain. An opening that other agents can still take is refused in any case.
 func (bok *Book) enqueue(key flow.Key, rec *record, hdr hop.Header, opn accept.Opening, now time.Time) {
@@ -77,7 +96,8 @@
 	rec.phase = opening
 	rec.deadline = now.Add(answerTime)
 	bok.waiting[key] = rec
-	bok.room.pledges[key] = now.Add(pledgeTime)
+	rec.begunAt = now
+	bok.room.keep(key, now)
 	bok.deliver(key, pkt, raw, now)
 }
 
--- a/core/owner/room_test.go
+++ b/core/owner/room_test.go
@@ -33,12 +33,16 @@
 	for port := range uint16(2) {
 		assertDone(t, openAt(bok, port, true, start), Deliver, 1)
 		bok.FromUpstream(flow.NewPacket(address, keyAt(port).Client(), flow.Syn|flow.Ack, 5000, 101, 0), nil, start)
-		bok.FromBalancer(hop.New(hop.Data, service, keyAt(port)), flow.NewPacket(keyAt(port).Client(), address, flow.Ack, 101, 5001, 10), nil, balancer, start)
+		requestAt(bok, port, 5001, start)
 		bok.Take()
 	}
 	return bok
 }
 
+func requestAt(bok *Book, port uint16, ack uint32, now time.Time) {
+	bok.FromBalancer(hop.New(hop.Data, service, keyAt(port)), flow.NewPacket(keyAt(port).Client(), address, flow.Ack, 101, ack, 10), nil, balancer, now)
+}
+
 func answerAt(bok *Book, port uint16, now time.Time) {
 	bok.FromUpstream(flow.NewPacket(address, keyAt(port).Client(), flow.Ack, 5001, 111, 200), nil, now)
 }
@@ -116,3 +120,21 @@
 	bok.Tick(start.Add(stalledTime + sweepEvery))
 	assertDone(t, openAt(bok, 9, true, start.Add(stalledTime+sweepEvery)), Deliver, 1)
 }
+
+// Requests on open flows do not keep new flows out.
+func TestNewFlowsGetHalfOfTheRoom(t *testing.T) {
+	bok := newBook(true)
+	bok.SetSlots(2)
+	for port := range uint16(4) { // Each has had an answer, and asks again.
+		openAt(bok, port, true, start)
+		bok.FromUpstream(flow.NewPacket(address, keyAt(port).Client(), flow.Syn|flow.Ack, 5000, 101, 0), nil, start)
+		requestAt(bok, port, 5001, start)
+		answerAt(bok, port, start)
+	}
+	for port := range uint16(4) {
+		requestAt(bok, port, 5201, start)
+	}
+	bok.Take()
+	assertDone(t, openAt(bok, 9, true, start), Deliver, 1)
+	assertTold(t, openAt(bok, 10, true, start), hop.Queued)
+}
