--- a/core/owner/balancer.go
+++ b/core/owner/balancer.go
@@ -128,6 +128,16 @@
 	bok.deliver(key, pkt, raw, now)
 }
 
+// isNew reports whether a packet brings data that has not been seen. A repeat
+// that comes after the answer is not another request.
+func (rec *record) isNew(pkt flow.Packet) bool {
+	if pkt.Size() == 0 || rec.asked && int32(pkt.End()-rec.dataEnd) <= 0 {
+		return false
+	}
+	rec.asked, rec.dataEnd = true, pkt.End()
+	return true
+}
+
 // holds reports whether a client that acknowledges this much means the flow as it
 // is at this upstream: while others may have answered the opening packet too,
 // only the acknowledgement tells whom the client chose.
@@ -170,7 +180,7 @@
 	if pkt.Has(flow.Ack) {
 		rec.ack = pkt.Ack()
 	}
-	if pkt.Size() > 0 && rec.phase != closed {
+	if rec.isNew(pkt) && rec.phase != closed {
 		bok.meter.begin(rec, now)
 		bok.room.noteFollowed(pkt.FromClient(), now.Sub(rec.begunAt))
 	}
--- a/core/owner/book.go
+++ b/core/owner/book.go
@@ -44,12 +44,14 @@
 	refused  bool // Silent was told.
 	busy     bool // A request waits for its answer.
 	answered bool // A request was answered.
+	asked    bool // The client has sent data.
 	data     bool // The packet of a trial came as Data.
 	finUp    bool
 	finDown  bool
 	seq      uint32 // The upstream's first sequence number.
 	sent     uint32 // The end of what the upstream sent.
 	first    uint32 // The client's first sequence number.
+	dataEnd  uint32 // The end of the client's data.
 	ack      uint32 // The client's last acknowledgement.
 	via      flow.End
 	begunAt  time.Time // When the opening packet was delivered.
--- a/core/owner/book_test.go
+++ b/core/owner/book_test.go
@@ -193,6 +193,16 @@
 	assert.Equal(t, acts[0].Seq(), uint32(5001))
 }
 
+// A repeat of a request that overtakes nothing and comes after the answer is not
+// another request.
+func TestRepeatedRequestCountsOnce(t *testing.T) {
+	bok := opened(t)
+	send(bok, hop.Data, 5001, start)
+	bok.FromUpstream(fromUpstream(flow.Ack, 5001, 200), nil, start)
+	send(bok, hop.Data, 5001, start)
+	assert.Assert(t, bok.Load(start.Add(time.Second)).Requests() < 0.1)
+}
+
 func TestLoadCountsRequestsUnderWay(t *testing.T) {
 	bok := opened(t)
 	send(bok, hop.Data, 5001, start)
--- a/core/owner/room_test.go
+++ b/core/owner/room_test.go
@@ -40,7 +40,7 @@
 }
 
 func requestAt(bok *Book, port uint16, ack uint32, now time.Time) {
-	bok.FromBalancer(hop.New(hop.Data, service, keyAt(port)), flow.NewPacket(keyAt(port).Client(), address, flow.Ack, 101, ack, 10), nil, balancer, now)
+	bok.FromBalancer(hop.New(hop.Data, service, keyAt(port)), flow.NewPacket(keyAt(port).Client(), address, flow.Ack, ack, ack, 10), nil, balancer, now)
 }
 
 func answerAt(bok *Book, port uint16, now time.Time) {
@@ -138,3 +138,16 @@
 	assertDone(t, openAt(bok, 9, true, start), Deliver, 1)
 	assertTold(t, openAt(bok, 10, true, start), hop.Queued)
 }
+
+// Room is kept for the request that follows an opening, but not for ever: a client
+// that has given up sends none.
+func TestRoomIsKeptForTheRequestOfANewFlow(t *testing.T) {
+	bok := newBook(true)
+	bok.SetSlots(1)
+	for port := range uint16(2) {
+		openAt(bok, port, true, start)
+	}
+	assertTold(t, openAt(bok, 9, true, start), hop.Queued)
+	bok.Tick(start.Add(maxPledge))
+	assertDone(t, bok.Take(), Deliver, 1)
+}
--- a/core/owner/rush_test.go
+++ b/core/owner/rush_test.go
@@ -29,6 +29,7 @@
 
 // rushClient is a client with one request.
 type rushClient struct {
+	ip       [4]byte
 	since    time.Time // When it first asked, before the rush for the backlog.
 	openedAt time.Time // Of the attempt under way.
 	copies   uint32
@@ -43,8 +44,9 @@
 	book    *Book
 	now     time.Time
 	clients []*rushClient
-	byPort  map[uint16]*rushClient
+	byPort  map[uint16]*rushClient // A port of its own for each attempt.
 	ports   uint16
+	ips     map[uint16][4]byte
 	pausing []*rushClient
 	queue   []flow.Key
 	running map[uint16]time.Time // By port, until when each runs.
@@ -54,7 +56,7 @@
 type outcome struct{ inObjective, answered, clients int }
 
 func playRush(slots int) (backlog, later outcome) {
-	rsh := &rush{book: newBook(true), now: start, byPort: make(map[uint16]*rushClient), running: make(map[uint16]time.Time)}
+	rsh := &rush{book: newBook(true), now: start, byPort: make(map[uint16]*rushClient), ips: make(map[uint16][4]byte), running: make(map[uint16]time.Time)}
 	rsh.book.SetSlots(slots)
 	for num := range rushBacklog {
 		rsh.begin(start.Add(-time.Duration(num) * rushEvery))
@@ -85,7 +87,7 @@
 }
 
 func (rsh *rush) begin(since time.Time) {
-	cln := &rushClient{since: since}
+	cln := &rushClient{ip: [4]byte{100, 64, 0, byte(len(rsh.clients))}, since: since}
 	rsh.clients = append(rsh.clients, cln)
 	rsh.attempt(cln)
 }
@@ -93,6 +95,7 @@
 func (rsh *rush) attempt(cln *rushClient) {
 	rsh.ports++
 	rsh.byPort[rsh.ports] = cln
+	rsh.ips[rsh.ports] = cln.ip
 	cln.openedAt, cln.copies, cln.open = rsh.now, 0, false
 	cln.tries++
 	rsh.sendOpening(rsh.ports, cln)
@@ -105,8 +108,8 @@
 	rsh.perform()
 }
 
-func (*rush) key(port uint16) flow.Key {
-	return flow.NewKey(flow.NewEnd([4]byte{100, 64, 0, 7}, port), address)
+func (rsh *rush) key(port uint16) flow.Key {
+	return flow.NewKey(flow.NewEnd(rsh.ips[port], port), address)
 }
 
 // step lets a millisecond pass.
