--- /dev/null
+++ b/core/accept/example_test.go
@@ -0,0 +1,33 @@
+package accept_test
+
+import (
+	"fmt"
+	"time"
+
+	"lagoondrum/core/accept"
+	"lagoondrum/core/flow"
+)
+
+// A backlog waits while a client that can still be answered in time is served.
+func ExampleQueue() {
+	const objective, answer = 250 * time.Millisecond, 100 * time.Millisecond
+	start := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	address := flow.NewEnd([4]byte{198, 18, 0, 1}, 443)
+	var que accept.Queue
+	add := func(port uint16, now time.Time) {
+		client := flow.NewEnd([4]byte{100, 64, 0, 7}, port)
+		pkt := flow.NewPacket(client, address, flow.Syn, 1, 0, 0)
+		que.Add(accept.NewOpening(pkt.FromClient(), pkt, nil, 2, objective, now))
+	}
+	add(1001, start)
+	add(1002, start)
+	later := start.Add(200 * time.Millisecond)
+	add(1003, later)
+	for que.Len() > 0 {
+		fmt.Println(que.Next(answer, later).Key().Client().Port())
+	}
+	// Output:
+	// 1003
+	// 1001
+	// 1002
+}
--- /dev/null
+++ b/core/owner/bench_test.go
@@ -0,0 +1,28 @@
+package owner
+
+import (
+	"runtime"
+	"testing"
+
+	"lagoondrum/core/flow"
+)
+
+// BenchmarkMemoryOfARecord reports the bytes that an agent keeps for a flow.
+func BenchmarkMemoryOfARecord(b *testing.B) {
+	const flows = 1e5
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	bok := newBook(true)
+	for num := range int(flows) {
+		from := flow.NewEnd([4]byte{100, byte(num >> 16), byte(num >> 8), byte(num)}, 20000)
+		bok.FromUpstream(flow.NewPacket(address, from, flow.Syn|flow.Ack, 5000, 101, 0), nil, start)
+		bok.Take()
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	for b.Loop() {
+		bok.Flows()
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/flows, "B/flow")
+}
--- a/core/track/bench_test.go
+++ b/core/track/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -56,6 +57,21 @@
 	}
 }
 
+// BenchmarkMemoryOfAHint reports the bytes that a balancer keeps for a flow.
+func BenchmarkMemoryOfAHint(b *testing.B) {
+	const flows = 1e5
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	bch := hinted(flows, 10)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	for b.Loop() {
+		bch.Hints()
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/flows, "B/flow")
+}
+
 // TestPacketOfAHintedFlowAllocatesNothing keeps the garbage collector out of the
 // packet path.
 func TestPacketOfAHintedFlowAllocatesNothing(t *testing.T) {
