--- a/core/owner/balancer.go
+++ b/core/owner/balancer.go
@@ -182,7 +182,7 @@
 	}
 	if rec.isNew(pkt) && rec.phase != closed {
 		bok.meter.begin(rec, now)
-		bok.room.noteFollowed(pkt.FromClient(), now.Sub(rec.begunAt))
+		bok.room.release(pkt.FromClient(), now.Sub(rec.begunAt))
 	}
 	if pkt.Has(flow.Fin) {
 		rec.finDown = true
--- a/core/owner/book.go
+++ b/core/owner/book.go
@@ -92,7 +92,7 @@
 		records:   make(map[flow.Key]*record),
 		denied:    make(map[flow.Key]time.Time),
 		waiting:   make(map[flow.Key]*record),
-		room:      room{pledges: make(map[flow.Key]time.Time), follow: maxPledge / pledgeSpan},
+		room:      room{reserved: make(map[flow.Key]time.Time), follow: maxReserve / reserveSpan},
 	}
 }
 
@@ -155,7 +155,7 @@
 		if rec.phase == queued {
 			bok.room.queue.Remove(key)
 		}
-		delete(bok.room.pledges, key)
+		delete(bok.room.reserved, key)
 		delete(bok.records, key)
 		delete(bok.waiting, key)
 	}
--- a/core/owner/room.go
+++ b/core/owner/room.go
@@ -11,9 +11,9 @@
 // Limits of what an upstream is given at once.
 const (
 	roundsAhead = 1.75                  // Requests for each slot: one runs, and some wait, so that no slot is idle while the next request is on its way.
-	minPledge   = 10 * time.Millisecond // Bounds of how long room is kept for the first request after its opening.
-	maxPledge   = 100 * time.Millisecond
-	pledgeSpan  = 3   // Times the usual time from an opening to its request that room is kept.
+	minReserve  = 10 * time.Millisecond // Bounds of how long room is kept for the first request after its opening.
+	maxReserve  = 100 * time.Millisecond
+	reserveSpan = 3   // Times the usual time from an opening to its request that room is kept.
 	answerGain  = 0.1 // Of the moving averages of times.
 )
 
@@ -21,11 +21,11 @@
 // the agent's, where their order can be chosen; in the upstream's own queue they
 // are served as they came, and when that is full they are refused.
 type room struct {
-	slots   int // 0: not known, and nothing waits.
-	queue   accept.Queue
-	pledges map[flow.Key]time.Time // Openings delivered whose first request has not come, and until when it is expected.
-	follow  time.Duration          // Moving average of the time from an opening to its request: a client's round trip.
-	answer  time.Duration          // Moving average of how long requests take.
+	slots    int // 0: not known, and nothing waits.
+	queue    accept.Queue
+	reserved map[flow.Key]time.Time // Openings delivered whose first request has not come, and until when it is expected.
+	follow   time.Duration          // Moving average of the time from an opening to its request: a client's round trip.
+	answer   time.Duration          // Moving average of how long requests take.
 }
 
 // SetSlots sets how many requests the upstream runs at once.
@@ -41,8 +41,8 @@
 // flows that are open come in any case; however many they are, half of the limit
 // is for new flows.
 func (bok *Book) full() bool {
-	pledged, limit := len(bok.room.pledges), bok.room.limit()
-	return bok.room.slots > 0 && bok.meter.running+pledged >= limit && bok.meter.first+pledged >= limit/2
+	held, limit := len(bok.room.reserved), bok.room.limit()
+	return bok.room.slots > 0 && bok.meter.running+held >= limit && bok.meter.first+held >= limit/2
 }
 
 // noteAnswer takes how long a request took into the average.
@@ -50,15 +50,15 @@
 	rom.answer += time.Duration(answerGain * float64(took-rom.answer))
 }
 
-// keep keeps room for the request that follows an opening.
-func (rom *room) keep(key flow.Key, now time.Time) {
-	rom.pledges[key] = now.Add(min(max(pledgeSpan*rom.follow, minPledge), maxPledge))
+// reserve keeps room for the request that follows an opening.
+func (rom *room) reserve(key flow.Key, now time.Time) {
+	rom.reserved[key] = now.Add(min(max(reserveSpan*rom.follow, minReserve), maxReserve))
 }
 
-// noteFollowed lets go of the room that was kept for a flow's request.
-func (rom *room) noteFollowed(key flow.Key, took time.Duration) {
-	if _, kept := rom.pledges[key]; kept {
-		delete(rom.pledges, key)
+// release lets go of the room that was kept for a flow's request.
+func (rom *room) release(key flow.Key, took time.Duration) {
+	if _, known := rom.reserved[key]; known {
+		delete(rom.reserved, key)
 		rom.follow += time.Duration(answerGain * float64(took-rom.follow))
 	}
 }
@@ -97,16 +97,16 @@
 	rec.deadline = now.Add(answerTime)
 	bok.waiting[key] = rec
 	rec.begunAt = now
-	bok.room.keep(key, now)
+	bok.room.reserve(key, now)
 	bok.deliver(key, pkt, raw, now)
 }
 
-// sweepRoom lets go of openings whose clients have given up, and of pledges that
-// were not kept.
+// sweepRoom refuses openings whose clients have given up, and ends reservations that
+// were not used.
 func (bok *Book) sweepRoom(now time.Time) {
-	for key, until := range bok.room.pledges {
+	for key, until := range bok.room.reserved {
 		if !now.Before(until) {
-			delete(bok.room.pledges, key)
+			delete(bok.room.reserved, key)
 		}
 	}
 	for {
--- a/core/owner/room_test.go
+++ b/core/owner/room_test.go
@@ -148,6 +148,6 @@
 		openAt(bok, port, true, start)
 	}
 	assertTold(t, openAt(bok, 9, true, start), hop.Queued)
-	bok.Tick(start.Add(maxPledge))
+	bok.Tick(start.Add(maxReserve))
 	assertDone(t, bok.Take(), Deliver, 1)
 }
--- a/core/track/opener.go
+++ b/core/track/opener.go
@@ -164,7 +164,7 @@
 	ent.queued = false
 	if hdr.Reason() == hop.Full && !ent.waits {
 		ent.waits = true
-		ent.tries = ent.tries[:len(ent.tries)-1] // By the load that it told it may still be the best to wait at.
+		ent.tries = ent.tries[:len(ent.tries)-1] // It may still be the best to wait at, by the load that it told.
 	}
 	tbl.next(key, ent, now)
 }
