Take a denial as proof only where every holder is known

Cause: a balancer that has just started knows where routes lead, not where they led.

Routes' former services now travel with the state, each process with the time since which it knows them; a process that starts asks the seeds first. Where the history is shorter than flows live, or the state was not confirmed since the flow's packet came, the agents of all services are asked before a reset.

Ruled out: reading earlier desired states from the platform's history, which reaches back 20 s while flows live 60 s.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -21,6 +21,7 @@
 	servers  map[string]*Server // By the entry's name.
 	agents   map[[4]byte]*Agent
 	services map[string][]*Agent
+	all      []*Agent
 }
 
 // New returns an empty fleet.
@@ -118,14 +119,16 @@
 }
 
 func (flt *Fleet) index() {
-	clear(flt.services)
+	flt.all = flt.all[:0:0] // A new slice: callers may still hold the old one.
 	for _, agt := range flt.agents {
+		flt.all = append(flt.all, agt)
+	}
+	slices.SortFunc(flt.all, func(one, other *Agent) int { return bytes.Compare(one.server.address[:], other.server.address[:]) })
+	clear(flt.services)
+	for _, agt := range flt.all {
 		name := agt.server.service
 		flt.services[name] = append(flt.services[name], agt)
 	}
-	for _, agts := range flt.services {
-		slices.SortFunc(agts, func(one, other *Agent) int { return bytes.Compare(one.server.address[:], other.server.address[:]) })
-	}
 }
 
 // Agent returns the agent on the VM with an IP number, nil when none is known.
@@ -134,8 +137,8 @@
 // Service returns the agents of a service, by IP number.
 func (flt *Fleet) Service(name string) []*Agent { return flt.services[name] }
 
-// All returns every agent.
-func (flt *Fleet) All() map[[4]byte]*Agent { return flt.agents }
+// All returns every agent, by IP number.
+func (flt *Fleet) All() []*Agent { return flt.all }
 
 // Len returns how many agents are known.
 func (flt *Fleet) Len() int { return len(flt.agents) }
--- /dev/null
+++ b/core/intent/board_test.go
@@ -0,0 +1,85 @@
+package intent
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestVersionsNeverFall(t *testing.T) {
+	brd := NewBoard(start)
+	assert.Assert(t, brd.Adopt(state(5, "feed"), start))
+	assert.Assert(t, !brd.Adopt(state(4, "upload"), start))
+	assert.Assert(t, !brd.Adopt(state(5, "upload"), start))
+	assert.Equal(t, brd.State().Route(address).Pick(0), "feed")
+}
+
+func TestHoldersRememberFormerServices(t *testing.T) {
+	brd := NewBoard(start)
+	brd.Adopt(state(1, "feed"), start)
+	brd.Adopt(state(2, "upload"), start)
+	assertHolders(t, brd, "feed", "upload")
+	brd.Adopt(state(3, "other"), start.Add(keepFormer))
+	assertHolders(t, brd, "other", "upload")
+}
+
+// assertHolders checks which services may hold flows of the address.
+func assertHolders(t *testing.T, brd *Board, want ...string) {
+	t.Helper()
+	got := brd.Holders(address)
+	slices.Sort(got)
+	slices.Sort(want)
+	assert.DeepEqual(t, got, want)
+}
+
+// A flow outlives several moves of its route.
+func TestHoldersRememberEveryMove(t *testing.T) {
+	brd := NewBoard(start)
+	for version, service := range []string{"a", "b", "a", "c", "b"} {
+		brd.Adopt(state(uint64(version+1), service), start)
+	}
+	assertHolders(t, brd, "a", "b", "c")
+}
+
+func TestHistoryIsInherited(t *testing.T) {
+	old := NewBoard(time.Time{})
+	old.Adopt(state(1, "feed"), start)
+	old.Adopt(state(2, "upload"), start.Add(10*time.Second))
+
+	now := start.Add(20 * time.Second)
+	brd := NewBoard(now)
+	brd.Adopt(state(2, "upload"), now)
+	assertHolders(t, brd, "upload")
+	assert.Assert(t, !brd.Complete(now))
+	brd.Inherit(old.History(now), now)
+	assertHolders(t, brd, "feed", "upload")
+	assert.Assert(t, brd.Complete(now))
+	assert.Equal(t, len(old.History(now.Add(keepFormer)).Formers()), 0)
+}
+
+func TestHistoryWithAGapIsNotComplete(t *testing.T) {
+	now := start.Add(time.Hour)
+	for name, tc := range map[string]struct {
+		since    time.Duration // Of the other process, before now.
+		covered  time.Duration // By this one, before now.
+		complete bool
+	}{
+		"the other is as old":                  {2 * flowLife, time.Second, true},
+		"the other is young, nothing missed":   {2 * time.Second, time.Second, true},
+		"the other is young, and there is gap": {time.Second, 2 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			brd := NewBoard(start)
+			brd.Inherit(NewHistory(now.Add(-tc.since), nil), now.Add(-tc.covered))
+			assert.Equal(t, brd.Complete(now), tc.complete)
+		})
+	}
+	t.Run("the platform dropped its history", func(t *testing.T) {
+		brd := NewBoard(start)
+		brd.Lose(now)
+		assert.Assert(t, !brd.Complete(now.Add(flowLife-1)))
+		assert.Assert(t, brd.Complete(now.Add(flowLife)))
+	})
+}
--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -80,6 +80,10 @@
 	return names
 }
 
+func (rte *Route) leadsTo(service string) bool {
+	return slices.ContainsFunc(rte.shares, func(shr Share) bool { return shr.service == service })
+}
+
 // State is one version of the desired state. It is immutable.
 type State struct {
 	version uint64
@@ -104,67 +108,3 @@
 
 // Route returns the route of an address, nil when there is none.
 func (stt *State) Route(address flow.End) *Route { return stt.routes[address] }
-
-// keepFormer is how long the services of a former route are remembered for flows
-// that are still open: the longest life of a flow.
-const keepFormer = 60 * time.Second
-
-// former is what an address led to before.
-type former struct {
-	services []string
-	until    time.Time
-}
-
-// Board holds the desired state in force. Its version never falls.
-type Board struct {
-	state  *State
-	former map[flow.End]former
-}
-
-// NewBoard returns a board without a state.
-func NewBoard() *Board { return &Board{former: make(map[flow.End]former)} }
-
-// State returns the state in force, nil before the first.
-func (brd *Board) State() *State { return brd.state }
-
-// Adopt puts a state in force and reports whether it did: an older version, or
-// the one in force, changes nothing.
-func (brd *Board) Adopt(stt *State, now time.Time) bool {
-	old := brd.state
-	if old != nil && stt.version <= old.version {
-		return false
-	}
-	brd.state = stt
-	for address, fmr := range brd.former {
-		if !now.Before(fmr.until) {
-			delete(brd.former, address)
-		}
-	}
-	if old == nil {
-		return true
-	}
-	for address, rte := range old.routes {
-		if stt.routes[address] != rte {
-			brd.former[address] = former{services: rte.Services(), until: now.Add(keepFormer)}
-		}
-	}
-	return true
-}
-
-// Holders returns the services that may hold an open flow of an address: those
-// of its route, and those it led to lately.
-func (brd *Board) Holders(address flow.End) []string {
-	var names []string
-	if brd.state == nil {
-		return nil
-	}
-	if rte := brd.state.Route(address); rte != nil {
-		names = rte.Services()
-	}
-	for _, name := range brd.former[address].services {
-		if !slices.Contains(names, name) {
-			names = append(names, name)
-		}
-	}
-	return names
-}
--- a/core/intent/intent_test.go
+++ b/core/intent/intent_test.go
@@ -22,23 +22,6 @@
 	return NewState(version, routes, time.Second)
 }
 
-func TestVersionsNeverFall(t *testing.T) {
-	brd := NewBoard()
-	assert.Assert(t, brd.Adopt(state(5, "feed"), start))
-	assert.Assert(t, !brd.Adopt(state(4, "upload"), start))
-	assert.Assert(t, !brd.Adopt(state(5, "upload"), start))
-	assert.Equal(t, brd.State().Route(address).Pick(0), "feed")
-}
-
-func TestHoldersRememberFormerServices(t *testing.T) {
-	brd := NewBoard()
-	brd.Adopt(state(1, "feed"), start)
-	brd.Adopt(state(2, "upload"), start)
-	assert.DeepEqual(t, brd.Holders(address), []string{"upload", "feed"})
-	brd.Adopt(state(3, "upload"), start.Add(keepFormer))
-	assert.Equal(t, len(brd.Holders(address)), 1)
-}
-
 func TestPickFollowsWeights(t *testing.T) {
 	rte := NewRoute("r", []Share{NewShare("a", 90), NewShare("b", 10), NewShare("c", 0)})
 	got := map[string]int{}
--- a/core/mirror/duty.go
+++ b/core/mirror/duty.go
@@ -10,7 +10,7 @@
 const (
 	Readers       = 2                       // Balancers that read at the same time, so that one may fail.
 	peerTime      = 1200 * time.Millisecond // A balancer that was not heard for this long is not counted on.
-	staleTime     = 3 * time.Second         // A state that was not confirmed for this long makes others read: a call that waits, and one that fails.
+	StaleTime     = 3 * time.Second         // A state that was not confirmed for this long makes others read: a call that waits, and one that fails.
 	takeoverStep  = 200 * time.Millisecond  // Between processes that take over, by rank.
 	takeoverSteps = 15
 )
@@ -100,7 +100,7 @@
 	if !dty.balancer {
 		step += takeoverSteps
 	}
-	return dty.confirmedAt.Add(staleTime + time.Duration(step)*takeoverStep)
+	return dty.confirmedAt.Add(StaleTime + time.Duration(step)*takeoverStep)
 }
 
 func rankOf(ip [4]byte) uint64 { return xxhash.Sum64(ip[:]) }
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -89,8 +89,8 @@
 		age      time.Duration
 		want     bool
 	}{
-		"agent, fresh": {false, staleTime, false},
-		"agent, stale": {false, staleTime + 2*takeoverSteps*takeoverStep, true},
+		"agent, fresh": {false, StaleTime, false},
+		"agent, stale": {false, StaleTime + 2*takeoverSteps*takeoverStep, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			dty := NewDuty([4]byte{10, 0, 0, 1}, tc.balancer)
--- a/core/proof/packets_scene_test.go
+++ b/core/proof/packets_scene_test.go
@@ -293,7 +293,7 @@
 }
 
 func (scn *scene) startBalancer(at int) {
-	blc := &sceneBalancer{board: intent.NewBoard(), fleet: fleet.New()}
+	blc := &sceneBalancer{board: intent.NewBoard(time.Time{}), fleet: fleet.New()}
 	blc.board.Adopt(scn.state(), scn.now)
 	for vm := range scn.vms {
 		if scn.vms[vm].listed {
@@ -340,7 +340,7 @@
 
 func (scn *scene) hearFormer(blc *sceneBalancer, former *intent.State) {
 	if scn.rules.anyVersion {
-		blc.board = intent.NewBoard()
+		blc.board = intent.NewBoard(time.Time{})
 		blc.table = track.New("z", sceneLink, blc.board, blc.fleet)
 	}
 	blc.board.Adopt(former, scn.now)
--- a/core/track/action.go
+++ b/core/track/action.go
@@ -38,6 +38,7 @@
 	Asked              // An agent is asked to open the flow: the best by load and zone.
 	Answered           // The upstream answered the opening.
 	Queued             // The opening waits at an agent until its upstream has room.
+	Widened            // The route's services deny the flow, but it may be at another one; all agents are asked.
 	causeEnd
 )
 
@@ -47,7 +48,7 @@
 var causeNames = [Causes]string{
 	"none", "noRoute", "noUpstream", "allRefused", "flowGone", "allDenied", "noHint", "hintWrong",
 	"found", "notFound", "refusal", "unanswered", "repeatedOpen",
-	"asked", "answered", "queued",
+	"asked", "answered", "queued", "widened",
 }
 
 // String returns the cause's name in logs and metrics.
--- a/core/track/seek.go
+++ b/core/track/seek.go
@@ -67,6 +67,8 @@
 // they know, then those whose memory is too short try the packet, one by one.
 type search struct {
 	waves    int
+	wide     bool      // The agents of every service are asked.
+	begunAt  time.Time // When the flow's packet came.
 	answered bool      // Whoever can has said what it knows; tries are under way.
 	denied   [][4]byte // Agents that do not hold the flow.
 	unsure   [][4]byte // Agents that have yet to try the packet.
@@ -81,11 +83,15 @@
 	ent.phase = seeking
 	ent.holders = nil
 	ent.queue = nil
-	ent.search = search{giveUpAt: now.Add(seekTime)}
+	ent.search = search{begunAt: now, giveUpAt: now.Add(seekTime)}
 	ent.enqueue(raw)
 	tbl.pending[key] = ent
 	tbl.notice(key, cse, [4]byte{})
-	tbl.ask(key, ent, tbl.candidates(key, ent), now)
+	agts := tbl.candidates(key, ent)
+	tbl.ask(key, ent, agts, now)
+	if len(agts) == 0 {
+		tbl.concluded(key, ent, now)
+	}
 }
 
 // ask asks those agents that have not denied the flow yet.
@@ -110,8 +116,8 @@
 func (tbl *Table) advance(key flow.Key, ent *entry, now time.Time) {
 	agts := tbl.candidates(key, ent)
 	switch {
-	case tbl.concluded(key, ent, agts, now):
-	case len(agts) == 0 && !now.Before(ent.search.giveUpAt):
+	case tbl.concluded(key, ent, now):
+	case len(agts) == 0 && !now.Before(ent.search.giveUpAt) && tbl.proven(ent, now):
 		tbl.forgetWith(key, ent, NoUpstream, now)
 	case !now.Before(ent.search.giveUpAt):
 		tbl.notice(key, NotFound, [4]byte{})
@@ -187,6 +193,9 @@
 
 // candidates returns every agent that may hold a flow, the likeliest first.
 func (tbl *Table) candidates(key flow.Key, ent *entry) []*fleet.Agent {
+	if ent.search.wide {
+		return tbl.fleet.All()
+	}
 	var agts []*fleet.Agent
 	for _, name := range tbl.services(key, ent) {
 		agts = append(agts, tbl.fleet.Service(name)...)
@@ -209,19 +218,51 @@
 
 // concluded resets a flow that every agent which could hold it denies. Agents
 // that are dead need not be heard; one that lives and has not answered must.
-func (tbl *Table) concluded(key flow.Key, ent *entry, agts []*fleet.Agent, now time.Time) bool {
-	if len(ent.search.denied) == 0 {
+func (tbl *Table) concluded(key flow.Key, ent *entry, now time.Time) bool {
+	sch := &ent.search
+	if !sch.deniedBy(tbl.candidates(key, ent), now) {
 		return false
 	}
-	for _, agt := range agts {
-		if !slices.Contains(ent.search.denied, agt.IP()) && !agt.Dead(now) {
-			return false
-		}
+	if !tbl.proven(ent, now) {
+		tbl.widen(key, ent, now)
+		return false
+	}
+	if len(sch.denied) == 0 {
+		return false
 	}
 	tbl.forgetWith(key, ent, AllDenied, now)
 	return true
 }
 
+// deniedBy reports whether no agent that lives may still hold the flow.
+func (sch *search) deniedBy(agts []*fleet.Agent, now time.Time) bool {
+	return !slices.ContainsFunc(agts, func(agt *fleet.Agent) bool {
+		return !slices.Contains(sch.denied, agt.IP()) && !agt.Dead(now)
+	})
+}
+
+// proven reports whether the word of all who were asked is the word of all who
+// could hold the flow. A process that has started lately does not know where a
+// route led before, and one that lags does not know where it leads now. Either
+// takes the word of every service instead.
+func (tbl *Table) proven(ent *entry, now time.Time) bool {
+	known := tbl.board.Complete(now) && tbl.board.ConfirmedAt().After(ent.search.begunAt)
+	return known || ent.search.wide && ent.search.deniedBy(tbl.fleet.All(), now)
+}
+
+// widen asks the agents of every service. In a fleet where that would fill the
+// link the flow is left alone until the state is confirmed.
+func (tbl *Table) widen(key flow.Key, ent *entry, now time.Time) {
+	if ent.search.wide || tbl.fleet.Len() > wideLimit {
+		return
+	}
+	ent.search.wide = true
+	if !tbl.concluded(key, ent, now) {
+		tbl.notice(key, Widened, [4]byte{})
+		tbl.ask(key, ent, tbl.fleet.All(), now)
+	}
+}
+
 // forgetWith resets a flow and remembers for a while that it is gone.
 func (tbl *Table) forgetWith(key flow.Key, ent *entry, cse Cause, now time.Time) {
 	delete(tbl.pending, key)
@@ -271,7 +312,7 @@
 		if ent.search.trying == from {
 			ent.search.trying = [4]byte{}
 		}
-		if !tbl.concluded(key, ent, tbl.candidates(key, ent), now) {
+		if !tbl.concluded(key, ent, now) && ent.phase == seeking {
 			tbl.proceed(key, ent, now)
 		}
 	}
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -24,6 +24,7 @@
 	maxSeeking = 4096                    // Flows that are sought at once.
 	queueTime  = 1400 * time.Millisecond // For an opening that waits at an agent: its client then gives up.
 	firstWave  = 16                      // Agents asked first; all of a small service.
+	wideLimit  = 256                     // Agents of a fleet in which all may be asked about one flow: 4 KB of questions.
 	blindTries = 2                       // Packets of a flow that upstreams get in vain while an agent is not heard; a third one breaks the flow if that agent holds it.
 	triesACopy = 2                       // Agents that are asked to open a flow for each copy of its opening.
 )
@@ -163,7 +164,7 @@
 		tbl.settle(key, ent, pkt, raw, now)
 	case seeking:
 		ent.enqueue(raw)
-		tbl.concluded(key, ent, tbl.candidates(key, ent), now) // An agent may have been silent for long enough by now.
+		tbl.concluded(key, ent, now) // An agent may have been silent for long enough by now.
 	case gone:
 		if now.Before(ent.goneTill) {
 			tbl.reset(key, pkt, FlowGone)
@@ -207,10 +208,6 @@
 	if pkt.Has(flow.Rst) || len(tbl.pending) >= maxSeeking {
 		return
 	}
-	if len(tbl.board.Holders(pkt.To())) == 0 {
-		tbl.reset(key, pkt, NoRoute)
-		return
-	}
 	ent := &entry{ack: pkt.Ack()}
 	tbl.put(key, ent)
 	tbl.seek(key, ent, raw, NoHint, now)
--- a/core/track/table_test.go
+++ b/core/track/table_test.go
@@ -34,7 +34,7 @@
 }
 
 func newBench(agents int) *bench {
-	bch := &bench{fleet: fleet.New(), board: intent.NewBoard()}
+	bch := &bench{fleet: fleet.New(), board: intent.NewBoard(time.Time{})}
 	bch.adopt(1, "feed")
 	for num := range agents {
 		bch.list(num+1, "feed", 1)
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -15,9 +15,11 @@
 	"lagoondrum/core/fleet"
 	"lagoondrum/core/flow"
 	"lagoondrum/core/hop"
+	"lagoondrum/core/intent"
 	"lagoondrum/core/mirror"
 	"lagoondrum/core/owner"
 	"lagoondrum/io/conf"
+	"lagoondrum/io/gossip"
 	"lagoondrum/io/logs"
 	"lagoondrum/io/mmsg"
 	"lagoondrum/platform"
@@ -41,6 +43,7 @@
 	toApp     *post      // Over outbound.
 	book      *owner.Book
 	fleet     *fleet.Fleet
+	board     *intent.Board // Kept for balancers that start after all of them have ended.
 	meter     *agentMeter
 	balancers map[netip.AddrPort]time.Time // When each was heard last.
 	wake      chan struct{}
@@ -68,12 +71,13 @@
 		toApp:     newPost(con),
 		book:      owner.New(hop.ServiceID(set.Service()), defaultIdle, time.Now(), set.FirstStart()),
 		fleet:     fleet.New(),
+		board:     bas.newBoard(time.Now()),
 		meter:     newAgentMeter(bas.scope),
 		balancers: make(map[netip.AddrPort]time.Time),
 		wake:      make(chan struct{}, 1),
 		gauges:    gauges{scope: bas.scope},
 	}
-	bas.rep.OnChange(agt.changed)
+	bas.rep.OnChange(agt.changed, agt)
 	if err := bas.serveHTTP(); err != nil {
 		return err
 	}
@@ -123,27 +127,25 @@
 	agt.toApp.flush()
 }
 
-// changed takes new items of the platform into use.
-func (agt *agent) changed(items []mirror.Item, now time.Time) {
+// History returns what is known of former routes.
+func (agt *agent) History(now time.Time) intent.History {
 	agt.mu.Lock()
 	defer agt.mu.Unlock()
+	return agt.board.History(now)
+}
+
+// changed takes news of the platform into use.
+func (agt *agent) changed(nws gossip.News, now time.Time) {
+	items := nws.Items()
+	states := agt.parseStates(items)
+	agt.mu.Lock()
+	defer agt.mu.Unlock()
+	agt.adoptStates(agt.board, states, nws.Origin(), now)
+	if stt := agt.board.State(); stt != nil {
+		agt.book.SetIdle(stt.Idle())
+	}
 	for _, itm := range items {
-		knd, id := platform.KindOf(itm.Key())
-		if knd == platform.StateItem && !itm.Deleted() {
-			agt.adoptLimits(itm)
-		}
-		if knd != platform.ServerItem {
-			continue
-		}
-		if itm.Deleted() {
-			agt.fleet.Unlist(id, now)
-			continue
-		}
-		if lst, err := platform.ParseServer(id, itm.Value()); err == nil {
-			agt.fleet.List(fleet.NewServer(lst, now), now)
-		} else {
-			agt.log.Warn("entry of an upstream cannot be used", zap.String("id", id), zap.Uint64("revision", itm.Revision()), zap.Error(err))
-		}
+		agt.list(itm, now)
 	}
 	agt.judgeOwn()
 	if len(items) > 0 {
@@ -152,14 +154,22 @@
 	}
 }
 
-// adoptLimits takes what an agent needs of the desired state.
-func (agt *agent) adoptLimits(itm mirror.Item) {
-	idle, err := platform.ParseIdle(itm.Value())
+// list takes what the platform says of an upstream.
+func (agt *agent) list(itm mirror.Item, now time.Time) {
+	knd, id := platform.KindOf(itm.Key())
+	if knd != platform.ServerItem {
+		return
+	}
+	if itm.Deleted() {
+		agt.fleet.Unlist(id, now)
+		return
+	}
+	lst, err := platform.ParseServer(id, itm.Value())
 	if err != nil {
-		agt.log.Error("desired state cannot be used", zap.Uint64("revision", itm.Revision()), zap.Error(err))
+		agt.log.Warn("entry of an upstream cannot be used", zap.String("id", id), zap.Uint64("revision", itm.Revision()), zap.Error(err))
 		return
 	}
-	agt.book.SetIdle(idle)
+	agt.fleet.List(fleet.NewServer(lst, now), now)
 }
 
 // judgeOwn takes what the platform lists of the own upstream.
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -65,7 +65,7 @@
 		base:    bas,
 		clients: con,
 		toUser:  newPost(con),
-		board:   intent.NewBoard(),
+		board:   bas.newBoard(time.Now()),
 		fleet:   fleet.New(),
 		meter:   newBalancerMeter(bas.scope),
 		named:   make(map[[4]byte]time.Time),
@@ -73,7 +73,7 @@
 		gauges:  gauges{scope: bas.scope},
 	}
 	blc.table = track.New(set.Place().Zone(), set.LinkBytes(), blc.board, blc.fleet)
-	bas.rep.OnChange(blc.changed)
+	bas.rep.OnChange(blc.changed, blc)
 	if err := bas.serveHTTP(); err != nil {
 		return err
 	}
@@ -264,6 +264,7 @@
 	blc.mu.Lock()
 	defer blc.mu.Unlock()
 	blc.fleet.Tick(now)
+	blc.board.Confirm(blc.rep.ConfirmedAt())
 	blc.table.Tick(now)
 	blc.perform(now)
 	blc.beats(now)
--- a/io/carry/base.go
+++ b/io/carry/base.go
@@ -20,6 +20,7 @@
 
 	"lagoondrum/core/fleet"
 	"lagoondrum/core/hop"
+	"lagoondrum/core/intent"
 	"lagoondrum/io/conf"
 	"lagoondrum/io/gossip"
 	"lagoondrum/io/logs"
@@ -75,10 +76,29 @@
 		sup:         suture.New(set.Name(), suture.Spec{EventHook: func(evt suture.Event) { log.Warn("supervisor", zap.String("event", evt.String())) }}),
 	}
 	bas.store = platform.NewStore(set.Platform())
-	bas.rep = gossip.New(bas.store, platform.HistoryLost, self.Addr().As4(), balancer, log)
+	bas.rep = gossip.New(bas.store, platform.HistoryLost, self.Addr().As4(), balancer, bas.seeds(), log)
 	return bas, nil
 }
 
+// seeds returns the addresses of other processes that may know the state already.
+func (bas *base) seeds() []netip.AddrPort {
+	var all []netip.AddrPort
+	for _, seed := range bas.set.Seeds() {
+		if seed.Addr() != bas.self.Addr() {
+			all = append(all, netip.AddrPortFrom(seed.Addr(), bas.self.Port()))
+		}
+	}
+	return all
+}
+
+// newBoard returns the board of a process that starts now.
+func (bas *base) newBoard(now time.Time) *intent.Board {
+	if bas.set.FirstStart() {
+		return intent.NewBoard(time.Time{})
+	}
+	return intent.NewBoard(now)
+}
+
 // serveHTTP adds the process's HTTP addresses to its supervisor.
 func (bas *base) serveHTTP() error {
 	changes := http.NewServeMux()
@@ -145,13 +165,13 @@
 }
 
 // spread tells some agents at once that this process knows a new state.
-func (bas *base) spread(hdr hop.Header, agents map[[4]byte]*fleet.Agent) {
+func (bas *base) spread(hdr hop.Header, agents []*fleet.Agent) {
 	told := 0
-	for ip := range agents { // In random order.
+	for _, at := range rand.Perm(len(agents)) {
 		if told == newsFanout {
 			return
 		}
-		if ip != bas.self.Addr().As4() {
+		if ip := agents[at].IP(); ip != bas.self.Addr().As4() {
 			bas.post.framed(hdr, nil, addrOf(ip, bas.self.Port()))
 			told++
 		}
--- a/io/carry/beat.go
+++ b/io/carry/beat.go
@@ -17,8 +17,9 @@
 func (blc *balancer) beats(now time.Time) {
 	if len(blc.beatsTo) == 0 && !now.Before(blc.roundAt) {
 		blc.roundAt = now.Add(beatInterval)
-		for ip := range blc.fleet.All() {
-			blc.beatsTo = append(blc.beatsTo, ip)
+		agts := blc.fleet.All()
+		for _, at := range rand.Perm(len(agts)) { // In an order of its own: balancers that start together would all beat one agent at once.
+			blc.beatsTo = append(blc.beatsTo, agts[at].IP())
 		}
 		blc.beatBalancers(now)
 	}
--- a/io/carry/state.go
+++ b/io/carry/state.go
@@ -9,28 +9,60 @@
 	"lagoondrum/core/fleet"
 	"lagoondrum/core/intent"
 	"lagoondrum/core/mirror"
+	"lagoondrum/io/gossip"
 	"lagoondrum/platform"
 )
 
-// changed takes new items of the platform into use.
-func (blc *balancer) changed(items []mirror.Item, now time.Time) {
-	states := make([]*intent.State, 0, 1)
+// parseStates decodes the desired states among items, in the order of their
+// versions. A large one takes milliseconds, so it is called outside of locks.
+func (bas *base) parseStates(items []mirror.Item) []*intent.State {
+	var states []*intent.State
 	for _, itm := range items {
-		if knd, _ := platform.KindOf(itm.Key()); knd == platform.StateItem && !itm.Deleted() {
-			stt, err := platform.ParseState(itm.Value()) // Outside the lock: a large state takes milliseconds.
-			if err != nil {
-				blc.log.Error("desired state cannot be used", zap.Uint64("revision", itm.Revision()), zap.Error(err))
-				continue
-			}
-			states = append(states, stt)
+		if knd, _ := platform.KindOf(itm.Key()); knd != platform.StateItem || itm.Deleted() {
+			continue
 		}
+		stt, err := platform.ParseState(itm.Value())
+		if err != nil {
+			bas.log.Error("desired state cannot be used", zap.Uint64("revision", itm.Revision()), zap.Error(err))
+			continue
+		}
+		states = append(states, stt)
+	}
+	return states
+}
+
+// adoptStates puts desired states in force, and takes over what the source of the
+// news knows of those before them.
+func (bas *base) adoptStates(brd *intent.Board, states []*intent.State, org gossip.Origin, now time.Time) {
+	switch src := org.(type) {
+	case gossip.Read:
+		if brd.State() != nil {
+			brd.Lose(now)
+		}
+	case gossip.Told:
+		brd.Inherit(src.History(), src.Covered())
+	case gossip.Watched:
 	}
-	blc.mu.Lock()
-	defer blc.mu.Unlock()
 	for _, stt := range states {
-		taken := blc.board.Adopt(stt, now)
-		blc.log.Info("desired state", zap.Uint64("version", stt.Version()), zap.Int("routes", stt.Routes()), zap.Bool("inForce", taken))
+		taken := brd.Adopt(stt, now)
+		bas.log.Info("desired state", zap.Uint64("version", stt.Version()), zap.Int("routes", stt.Routes()), zap.Bool("inForce", taken), zap.Bool("historyComplete", brd.Complete(now)))
 	}
+}
+
+// History returns what is known of former routes.
+func (blc *balancer) History(now time.Time) intent.History {
+	blc.mu.Lock()
+	defer blc.mu.Unlock()
+	return blc.board.History(now)
+}
+
+// changed takes news of the platform into use.
+func (blc *balancer) changed(nws gossip.News, now time.Time) {
+	items := nws.Items()
+	states := blc.parseStates(items)
+	blc.mu.Lock()
+	defer blc.mu.Unlock()
+	blc.adoptStates(blc.board, states, nws.Origin(), now)
 	for _, itm := range items {
 		blc.list(itm, now)
 	}
--- a/io/gossip/codec.go
+++ b/io/gossip/codec.go
@@ -1,8 +1,13 @@
 package gossip
 
 import (
+	"encoding/binary"
+	"time"
+
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"lagoondrum/core/flow"
+	"lagoondrum/core/intent"
 	"lagoondrum/core/mirror"
 )
 
@@ -12,13 +17,24 @@
 	fieldRevision protowire.Number = 2
 	fieldWhole    protowire.Number = 3
 	fieldItem     protowire.Number = 4
+	fieldReach    protowire.Number = 5 // How far the history reaches back, ms; without it there is none.
+	fieldFormer   protowire.Number = 6
+	fieldAge      protowire.Number = 7 // Since the state was known to be the newest, ms, plus 1; without it never.
 
 	itemKey      protowire.Number = 1
 	itemValue    protowire.Number = 2
 	itemRevision protowire.Number = 3
 	itemDeleted  protowire.Number = 4
+
+	formerIP      protowire.Number = 1
+	formerPort    protowire.Number = 2
+	formerService protowire.Number = 3
+	formerLeft    protowire.Number = 4 // Until the last of its flows has ended, ms.
 )
 
+// maxMillis bounds lengths of time in messages.
+const maxMillis = uint64(1 << 40)
+
 // CodecError reports a message that cannot be decoded.
 type CodecError struct{ cause error }
 
@@ -33,9 +49,14 @@
 	revision uint64
 	whole    bool
 	items    []mirror.Item
+
+	history     intent.History
+	confirmedAt time.Time // Zero when the state was never confirmed.
 }
 
-func (upd update) encode() []byte {
+// encode returns the message. Times travel as their distance from now, as clocks
+// differ.
+func (upd update) encode(now time.Time) []byte {
 	buf := appendUint(nil, fieldAfter, upd.after)
 	buf = appendUint(buf, fieldRevision, upd.revision)
 	buf = appendUint(buf, fieldWhole, protowire.EncodeBool(upd.whole))
@@ -43,9 +64,32 @@
 		buf = protowire.AppendTag(buf, fieldItem, protowire.BytesType)
 		buf = protowire.AppendBytes(buf, encodeItem(itm))
 	}
+	buf = appendUint(buf, fieldReach, millis(now.Sub(upd.history.Since())))
+	for _, fmr := range upd.history.Formers() {
+		buf = protowire.AppendTag(buf, fieldFormer, protowire.BytesType)
+		buf = protowire.AppendBytes(buf, encodeFormer(fmr, now))
+	}
+	if !upd.confirmedAt.IsZero() {
+		buf = appendUint(buf, fieldAge, 1+millis(now.Sub(upd.confirmedAt)))
+	}
 	return buf
 }
 
+func encodeFormer(fmr intent.Former, now time.Time) []byte {
+	ip := fmr.Address().IP()
+	buf := appendUint(nil, formerIP, uint64(binary.BigEndian.Uint32(ip[:])))
+	buf = appendUint(buf, formerPort, uint64(fmr.Address().Port()))
+	buf = protowire.AppendTag(buf, formerService, protowire.BytesType)
+	buf = protowire.AppendString(buf, fmr.Service())
+	return appendUint(buf, formerLeft, millis(fmr.Until().Sub(now)))
+}
+
+func millis(span time.Duration) uint64 { return min(uint64(max(span.Milliseconds(), 0)), maxMillis) }
+
+func span(millis uint64) time.Duration {
+	return time.Duration(min(millis, maxMillis)) * time.Millisecond
+}
+
 func encodeItem(itm mirror.Item) []byte {
 	buf := protowire.AppendTag(nil, itemKey, protowire.BytesType)
 	buf = protowire.AppendString(buf, itm.Key())
@@ -59,8 +103,10 @@
 	return protowire.AppendVarint(protowire.AppendTag(buf, num, protowire.VarintType), value)
 }
 
-func decodeUpdate(buf []byte) (update, error) {
+func decodeUpdate(buf []byte, now time.Time) (update, error) {
 	var upd update
+	var formers []intent.Former
+	since := now
 	err := eachField(buf, func(num protowire.Number, value uint64, raw []byte) error {
 		switch num {
 		case fieldAfter:
@@ -75,12 +121,44 @@
 				return err
 			}
 			upd.items = append(upd.items, itm)
+		case fieldReach:
+			since = now.Add(-span(value))
+		case fieldFormer:
+			fmr, err := decodeFormer(raw, now)
+			if err != nil {
+				return err
+			}
+			formers = append(formers, fmr)
+		case fieldAge:
+			upd.confirmedAt = now.Add(-span(value - min(value, 1)))
 		}
 		return nil
 	})
+	upd.history = intent.NewHistory(since, formers)
 	return upd, err
 }
 
+func decodeFormer(buf []byte, now time.Time) (intent.Former, error) {
+	var ip [4]byte
+	var port uint16
+	var service string
+	until := now
+	err := eachField(buf, func(num protowire.Number, value uint64, raw []byte) error {
+		switch num {
+		case formerIP:
+			binary.BigEndian.PutUint32(ip[:], uint32(value))
+		case formerPort:
+			port = uint16(value)
+		case formerService:
+			service = string(raw)
+		case formerLeft:
+			until = now.Add(span(value))
+		}
+		return nil
+	})
+	return intent.NewFormer(flow.NewEnd(ip, port), service, until), err
+}
+
 func decodeItem(buf []byte) (mirror.Item, error) {
 	var key string
 	var val []byte
--- a/io/gossip/replica.go
+++ b/io/gossip/replica.go
@@ -26,6 +26,7 @@
 	retryDelay  = 250 * time.Millisecond // After the first failed call, doubled up to maxRetry.
 	maxRetry    = 2 * time.Second
 	pullTimeout = 700 * time.Millisecond // For a peer's answer; it is some milliseconds away.
+	joinTime    = 150 * time.Millisecond // For the seeds' answers at the start; they are some milliseconds away.
 	maxUpdate   = 32 << 20               // Bytes of a peer's answer.
 )
 
@@ -45,9 +46,9 @@
 // Lost reports whether an error says that the platform dropped its history.
 type Lost func(err error) bool
 
-// Apply takes items that are new, in a call of the replica's own goroutines. The
-// replica is not locked during the call; calls come one after the other.
-type Apply func(items []mirror.Item, now time.Time)
+// Apply takes news, in a call of the replica's own goroutines. The replica is not
+// locked during the call; calls come one after the other.
+type Apply func(nws News, now time.Time)
 
 // Replica is a process's copy of the platform's state.
 type Replica struct {
@@ -55,6 +56,8 @@
 	lost   Lost
 	log    *zap.Logger
 	client *http.Client
+	seeds  []netip.AddrPort
+	past   Past
 
 	applyMu sync.Mutex // Held to change the mirror and to hand on what changed, in order.
 	mu      sync.Mutex
@@ -69,7 +72,8 @@
 }
 
 // New returns an empty replica of a process on the VM with an IP number.
-func New(sto Store, lost Lost, self [4]byte, balancer bool, log *zap.Logger) *Replica {
+// Seeds are processes that it asks for their state at the start.
+func New(sto Store, lost Lost, self [4]byte, balancer bool, seeds []netip.AddrPort, log *zap.Logger) *Replica {
 	dialer := &net.Dialer{Timeout: pullTimeout, KeepAlive: -1}
 	return &Replica{
 		store:  sto,
@@ -78,11 +82,13 @@
 		client: &http.Client{Timeout: pullTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
 		mir:    mirror.New(),
 		duty:   mirror.NewDuty(self, balancer),
+		seeds:  seeds,
 	}
 }
 
-// OnChange sets who takes what is new. It is called before Serve.
-func (rep *Replica) OnChange(apl Apply) { rep.apply = apl }
+// OnChange sets who takes what is new, and who tells peers of former routes. It
+// is called before Serve.
+func (rep *Replica) OnChange(apl Apply, pst Past) { rep.apply, rep.past = apl, pst }
 
 // Revision returns the revision of the state.
 func (rep *Replica) Revision() uint64 {
@@ -155,7 +161,7 @@
 			rep.mu.Unlock()
 			return
 		}
-		rep.adopt(upd, time.Now())
+		rep.adoptTold(upd, time.Now())
 		rep.mu.Lock()
 		if rep.mir.Revision() < rep.ahead {
 			rep.ahead = rep.mir.Revision()
@@ -182,7 +188,7 @@
 	if err != nil {
 		return update{}, err
 	}
-	return decodeUpdate(body)
+	return decodeUpdate(body, time.Now())
 }
 
 // ServeHTTP answers a peer that asks for what changed after a revision.
@@ -192,19 +198,49 @@
 		http.Error(rw, "after is not a revision", http.StatusBadRequest)
 		return
 	}
+	now := time.Now()
+	if _, err := rw.Write(rep.since(after, now).encode(now)); err != nil {
+		rep.log.Debug("peer left before its answer", zap.Error(err))
+	}
+}
+
+// since returns what changed after a revision, with a history that fits it.
+func (rep *Replica) since(after uint64, now time.Time) update {
+	rep.applyMu.Lock()
+	defer rep.applyMu.Unlock()
+	his := rep.past.History(now)
 	rep.mu.Lock()
+	defer rep.mu.Unlock()
 	items, whole := rep.mir.Since(after)
-	upd := update{after: after, revision: rep.mir.Revision(), whole: whole, items: items}
-	rep.mu.Unlock()
-	if _, err := rw.Write(upd.encode()); err != nil {
-		rep.log.Debug("peer left before its answer", zap.Error(err))
+	return update{after: after, revision: rep.mir.Revision(), whole: whole, items: items, history: his, confirmedAt: rep.duty.ConfirmedAt()}
+}
+
+// adoptTold takes an update of a peer.
+func (rep *Replica) adoptTold(upd update, now time.Time) {
+	rep.applyMu.Lock()
+	defer rep.applyMu.Unlock()
+	covered := rep.ConfirmedAt()
+	rep.adopt(upd, Told{history: upd.history, covered: covered}, now)
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	if upd.revision == rep.mir.Revision() {
+		rep.duty.NoteConfirmed(upd.confirmedAt)
 	}
 }
 
-// adopt takes an update into the mirror and hands on what is new.
-func (rep *Replica) adopt(upd update, now time.Time) {
+// adoptCall takes what the platform answered.
+func (rep *Replica) adoptCall(upd update, now time.Time) {
 	rep.applyMu.Lock()
 	defer rep.applyMu.Unlock()
+	if upd.whole {
+		rep.adopt(upd, Read{}, now)
+	} else {
+		rep.adopt(upd, Watched{}, now)
+	}
+}
+
+// adopt takes an update into the mirror and hands on what is new.
+func (rep *Replica) adopt(upd update, org Origin, now time.Time) {
 	rep.mu.Lock()
 	before := rep.mir.Revision()
 	var news []mirror.Item
@@ -216,12 +252,14 @@
 	moved := rep.mir.Revision() != before
 	rep.mu.Unlock()
 	if moved || len(news) > 0 {
-		rep.apply(news, now)
+		rep.apply(News{items: news, origin: org}, now)
 	}
 }
 
-// Serve reads the platform whenever that is this process's duty, until ctx ends.
+// Serve asks the seeds for the state, and then reads the platform whenever that is
+// this process's duty, until ctx ends.
 func (rep *Replica) Serve(ctx context.Context) error {
+	stale := rep.join(ctx)
 	delay := retryDelay
 	for ctx.Err() == nil {
 		if !rep.onDuty(time.Now()) {
@@ -232,14 +270,72 @@
 		rep.noteCall(err)
 		if err == nil {
 			delay = retryDelay
+			stale = nil
 			continue
 		}
+		if stale != nil {
+			rep.adoptTold(*stale, time.Now()) // An old state is better than none.
+			stale = nil
+		}
 		sleep(ctx, delay)
 		delay = min(2*delay, maxRetry)
 	}
 	return ctx.Err()
 }
 
+// join takes the state of a process that has run for longer: it knows former
+// routes too, and the platform is spared a call. Where none answers, as at the
+// start of the whole system, the platform is read. A state that was not confirmed
+// lately, as of a seed that is cut off, is not adopted but returned.
+func (rep *Replica) join(ctx context.Context) (stale *update) {
+	answers := make(chan answer, len(rep.seeds))
+	for _, seed := range rep.seeds {
+		go func() {
+			upd, err := rep.fetch(seed, 0)
+			answers <- answer{seed, upd, err}
+		}()
+	}
+	timer := time.NewTimer(joinTime)
+	defer timer.Stop()
+	for range rep.seeds {
+		select {
+		case ans := <-answers:
+			if !rep.takeSeed(ans, time.Now()) && ans.err == nil && (stale == nil || ans.upd.revision > stale.revision) {
+				stale = &ans.upd
+			}
+		case <-timer.C:
+			return stale
+		case <-ctx.Done():
+			return stale
+		}
+	}
+	return stale
+}
+
+// answer is what a seed answered.
+type answer struct {
+	seed netip.AddrPort
+	upd  update
+	err  error
+}
+
+// takeSeed adopts a seed's state if it was confirmed lately, and reports whether
+// it did.
+func (rep *Replica) takeSeed(ans answer, now time.Time) bool {
+	if ans.err != nil {
+		rep.log.Info("seed did not answer", zap.Stringer("seed", ans.seed), zap.Error(ans.err))
+		return false
+	}
+	age := now.Sub(ans.upd.confirmedAt)
+	fresh := ans.upd.revision > 0 && age < mirror.StaleTime
+	rep.log.Info("seed answered", zap.Stringer("seed", ans.seed), zap.Uint64("revision", ans.upd.revision), zap.Bool("adopted", fresh),
+		zap.Duration("reach", now.Sub(ans.upd.history.Since())), zap.Duration("age", age))
+	if fresh {
+		rep.adoptTold(ans.upd, now)
+	}
+	return fresh
+}
+
 func (rep *Replica) onDuty(now time.Time) bool {
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
@@ -265,7 +361,7 @@
 		return rep.readWhole(ctx)
 	}
 	if err == nil {
-		rep.adopt(update{after: after, revision: revision, items: items}, time.Now())
+		rep.adoptCall(update{after: after, revision: revision, items: items}, time.Now())
 	}
 	return err
 }
@@ -273,7 +369,7 @@
 func (rep *Replica) readWhole(ctx context.Context) error {
 	revision, items, err := rep.store.State(ctx)
 	if err == nil {
-		rep.adopt(update{revision: revision, whole: true, items: items}, time.Now())
+		rep.adoptCall(update{revision: revision, whole: true, items: items}, time.Now())
 	}
 	return err
 }
--- a/io/gossip/replica_test.go
+++ b/io/gossip/replica_test.go
@@ -14,6 +14,8 @@
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
+	"lagoondrum/core/flow"
+	"lagoondrum/core/intent"
 	"lagoondrum/core/mirror"
 )
 
@@ -49,16 +51,27 @@
 
 // inbox collects what a replica hands on.
 type inbox struct {
-	mu   sync.Mutex
-	keys []string
+	mu      sync.Mutex
+	keys    []string
+	history intent.History
 }
 
-func (box *inbox) take(items []mirror.Item, _ time.Time) {
+func (box *inbox) take(nws News, _ time.Time) {
 	box.mu.Lock()
 	defer box.mu.Unlock()
-	for _, itm := range items {
+	for _, itm := range nws.Items() {
 		box.keys = append(box.keys, itm.Key())
 	}
+	if tld, ok := nws.Origin().(Told); ok {
+		box.history = tld.History()
+	}
+}
+
+// History returns what was inherited, or is known from the start.
+func (box *inbox) History(time.Time) intent.History {
+	box.mu.Lock()
+	defer box.mu.Unlock()
+	return box.history
 }
 
 func (box *inbox) got() []string {
@@ -68,9 +81,9 @@
 }
 
 func newReplica(sto Store) (*Replica, *inbox) {
-	rep := New(sto, func(err error) bool { return errors.Is(err, errHistory) }, [4]byte{127, 0, 0, 1}, true, zap.NewNop())
+	rep := New(sto, func(err error) bool { return errors.Is(err, errHistory) }, [4]byte{127, 0, 0, 1}, true, nil, zap.NewNop())
 	box := &inbox{}
-	rep.OnChange(box.take)
+	rep.OnChange(box.take, box)
 	return rep, box
 }
 
@@ -94,7 +107,7 @@
 
 func TestReplicaCatchesUpFromAPeer(t *testing.T) {
 	ahead, _ := newReplica(&fakeStore{})
-	ahead.adopt(update{revision: 7, whole: true, items: []mirror.Item{mirror.NewItem("a", []byte("1"), 6), mirror.NewDeletion("b", 7)}}, time.Now())
+	ahead.adoptCall(update{revision: 7, whole: true, items: []mirror.Item{mirror.NewItem("a", []byte("1"), 6), mirror.NewDeletion("b", 7)}}, time.Now())
 	srv := httptest.NewServer(http.HandlerFunc(ahead.ServeHTTP))
 	defer srv.Close()
 	behind, box := newReplica(&fakeStore{})
@@ -114,18 +127,52 @@
 	rec := httptest.NewRecorder()
 	rep.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, ChangesPath+"?after=x", nil))
 	assert.Equal(t, rec.Code, http.StatusBadRequest)
-	_, err := decodeUpdate([]byte{0xff})
+	_, err := decodeUpdate([]byte{0xff}, time.Now())
 	var bad *CodecError
 	assert.ErrorType(t, err, bad)
 }
 
+// A process that starts takes over a seed's state and its knowledge of former
+// routes, unless the seed has lost touch.
+func TestReplicaJoinsFromASeed(t *testing.T) {
+	for name, tc := range map[string]struct {
+		confirmed time.Duration
+		want      uint64
+		stale     bool
+	}{
+		"that is up to date": {0, 7, false},
+		"that lost touch":    {mirror.StaleTime, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			seed, old := newReplica(&fakeStore{})
+			old.history = intent.NewHistory(now.Add(-time.Hour), []intent.Former{intent.NewFormer(flow.End{}, "feed", now.Add(time.Minute))})
+			seed.adoptCall(update{revision: 7, whole: true, items: []mirror.Item{mirror.NewItem("a", []byte("1"), 6)}}, now)
+			seed.noteCall(nil)
+			seed.duty = mirror.NewDuty([4]byte{}, true)
+			seed.duty.NoteConfirmed(now.Add(-tc.confirmed))
+			srv := httptest.NewServer(http.HandlerFunc(seed.ServeHTTP))
+			defer srv.Close()
+			rep, box := newReplica(&fakeStore{})
+			rep.seeds = []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))}
+			stale := rep.join(context.Background())
+			assert.Equal(t, rep.Revision(), tc.want)
+			assert.Equal(t, stale != nil, tc.stale)
+			assert.Equal(t, len(box.History(now).Formers()) == 1, !tc.stale)
+		})
+	}
+}
+
 func FuzzDecodeUpdate(f *testing.F) {
-	f.Add(update{after: 1, revision: 2, whole: true, items: []mirror.Item{mirror.NewItem("a", []byte("1"), 2)}}.encode())
+	now := time.Now()
+	his := intent.NewHistory(now.Add(-time.Minute), []intent.Former{intent.NewFormer(flow.NewEnd([4]byte{198, 18, 0, 1}, 443), "feed", now.Add(time.Second))})
+	f.Add(update{after: 1, revision: 2, whole: true, items: []mirror.Item{mirror.NewItem("a", []byte("1"), 2)}, history: his, confirmedAt: now}.encode(now))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		if upd, err := decodeUpdate(raw); err == nil {
-			again, err := decodeUpdate(upd.encode())
+		if upd, err := decodeUpdate(raw, now); err == nil {
+			again, err := decodeUpdate(upd.encode(now), now)
 			assert.NilError(t, err)
 			assert.Equal(t, len(again.items), len(upd.items))
+			assert.Equal(t, len(again.history.Formers()), len(upd.history.Formers()))
 		}
 	})
 }
