Have the seeds read the platform, and judge silence by what was asked

Now the seeds read, two at a time; others stand in by rank when the state grows stale, step back when they hear of two readers, and try every 4 s while the platform answers nobody. At the first start everybody asks the seeds. After changes a reader waits 100 ms, so that one call brings several.

An agent counted as dead when it had not been heard for 1.5 s, which in a large fleet is a round of heartbeats: its word was not waited for, and its upstream was dropped at once when its entry lapsed. It is dead now only when something sent to it stayed unanswered; whoever owes an answer is asked again before its turn, and is asked about the flows that are sought as soon as it is heard.

--- a/core/fleet/agent.go
+++ b/core/fleet/agent.go
@@ -14,7 +14,7 @@
 	// SilentTime is how long an agent that is asked keeps silent before it is
 	// taken as dead: some heartbeats, and longer than a restart takes.
 	SilentTime  = 1500 * time.Millisecond
-	beatsMissed = 900 * time.Millisecond // Without a heartbeat for this long an agent gets no new flows while others can.
+	owedTime    = 900 * time.Millisecond // An agent that left something unanswered for this long gets no new flows while others can.
 	restartTime = 4 * time.Second        // An agent that announced its restart is waited for.
 )
 
@@ -22,9 +22,8 @@
 type Agent struct {
 	server      *Server
 	serviceID   uint64
-	since       time.Time // When it was listed first.
 	heardAt     time.Time
-	beatenAt    time.Time // The first heartbeat sent since it was last heard.
+	askedAt     time.Time // When it was sent something that it answers, the first time since it was last heard.
 	load        hop.Load
 	pending     int // Openings sent since the load was heard.
 	leaving     bool
@@ -55,12 +54,15 @@
 func (agt *Agent) Pending() int { return agt.pending }
 
 // NoteOpening records that an opening packet was sent to the agent.
-func (agt *Agent) NoteOpening() { agt.pending++ }
+func (agt *Agent) NoteOpening(now time.Time) {
+	agt.pending++
+	agt.NoteAsked(now)
+}
 
-// NoteBeat records that a heartbeat was sent to the agent.
-func (agt *Agent) NoteBeat(now time.Time) {
-	if agt.beatenAt.IsZero() {
-		agt.beatenAt = now
+// NoteAsked records that the agent was sent something that it answers.
+func (agt *Agent) NoteAsked(now time.Time) {
+	if agt.askedAt.IsZero() {
+		agt.askedAt = now
 	}
 }
 
@@ -69,7 +71,7 @@
 func (agt *Agent) NoteHeard(hdr hop.Header, now time.Time) bool {
 	changed := agt.leaving != hdr.Leaving() || agt.down != hdr.Down()
 	agt.heardAt = now
-	agt.beatenAt = time.Time{}
+	agt.askedAt = time.Time{}
 	agt.load = hdr.Load()
 	agt.pending = 0
 	agt.leaving = hdr.Leaving()
@@ -110,19 +112,17 @@
 
 // Sound reports whether nothing speaks against giving the agent a new flow now.
 func (agt *Agent) Sound(now time.Time) bool {
-	silent := !agt.beatenAt.IsZero() && now.Sub(agt.beatenAt) > beatsMissed
-	return agt.Usable() && !silent && !now.Before(agt.passTill) && !now.Before(agt.restartTill)
+	return agt.Usable() && !agt.Owes(owedTime, now) && !now.Before(agt.passTill) && !now.Before(agt.restartTill)
+}
+
+// Owes reports whether the agent has left something unanswered for a time.
+func (agt *Agent) Owes(span time.Duration, now time.Time) bool {
+	return !agt.askedAt.IsZero() && now.Sub(agt.askedAt) >= span
 }
 
 // Dead reports whether the agent has been silent for so long that it needs not
-// be waited for.
+// be waited for. One that was not asked anything is not silent: in a large fleet
+// heartbeats take seconds to go round.
 func (agt *Agent) Dead(now time.Time) bool {
-	if now.Before(agt.restartTill) {
-		return false
-	}
-	last := agt.heardAt
-	if last.Before(agt.since) {
-		last = agt.since
-	}
-	return now.Sub(last) >= SilentTime
+	return !now.Before(agt.restartTill) && agt.Owes(SilentTime, now)
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -36,7 +36,7 @@
 // List puts what an entry says in force.
 func (flt *Fleet) List(srv *Server, now time.Time) {
 	flt.servers[srv.id] = srv
-	flt.rebuild(now)
+	flt.rebuild()
 }
 
 // Unlist takes an entry out. An upstream that drained is gone with it; another
@@ -52,7 +52,7 @@
 	} else if agt.lapsedTill.IsZero() {
 		agt.lapsedTill = now.Add(lapseTime)
 	}
-	flt.rebuild(now)
+	flt.rebuild()
 }
 
 // Tick drops the upstreams that lapsed for good and reports whether there were
@@ -63,20 +63,20 @@
 		if agt.lapsedTill.IsZero() {
 			continue
 		}
-		if !now.Before(agt.lapsedTill) || agt.down || agt.leaving || now.Sub(agt.heardAt) >= SilentTime {
+		if !now.Before(agt.lapsedTill) || agt.down || agt.leaving || agt.Dead(now) {
 			delete(flt.servers, agt.server.id)
 			dropped = true
 		}
 	}
 	if dropped {
-		flt.rebuild(now)
+		flt.rebuild()
 	}
 	return dropped
 }
 
 // rebuild gives each VM the upstream that started last there: an address may be
 // listed for an upstream that is gone and for its successor.
-func (flt *Fleet) rebuild(now time.Time) {
+func (flt *Fleet) rebuild() {
 	current := make(map[[4]byte]*Server, len(flt.servers))
 	for _, srv := range flt.servers {
 		if old := current[srv.address]; old == nil || srv.newer(old) {
@@ -92,7 +92,7 @@
 	}
 	for ip, srv := range current {
 		if flt.agents[ip] == nil {
-			flt.agents[ip] = &Agent{server: srv, serviceID: hop.ServiceID(srv.service), since: now}
+			flt.agents[ip] = &Agent{server: srv, serviceID: hop.ServiceID(srv.service)}
 		}
 	}
 	flt.index()
--- a/core/hop/hop.go
+++ b/core/hop/hop.go
@@ -62,8 +62,9 @@
 	flagLeaving = 1 << iota // The sender takes no new flows.
 	flagRestart             // The sender ends and is about to be started again.
 	flagDown                // The upstream beside the sender does not run.
-	flagAble                // The sender reads the platform.
+	flagAble                // The platform answered the sender's last call.
 	flagFresh               // The sender has a state that was confirmed.
+	flagReads               // The sender reads the platform.
 	flagWaits               // The opening waits where it is sent if there is no room: other agents had none.
 )
 
@@ -198,6 +199,9 @@
 // WithAble returns the header of a sender whose last call the platform answered.
 func (hdr Header) WithAble() Header { hdr.flags |= flagAble; return hdr }
 
+// WithReads returns the header of a sender that reads the platform.
+func (hdr Header) WithReads() Header { hdr.flags |= flagReads; return hdr }
+
 // WithFresh returns the header of a sender whose state was confirmed lately.
 func (hdr Header) WithFresh() Header { hdr.flags |= flagFresh; return hdr }
 
@@ -246,5 +250,8 @@
 // Able reports whether the platform answered the sender's last call.
 func (hdr Header) Able() bool { return hdr.flags&flagAble != 0 }
 
+// Reads reports whether the sender reads the platform.
+func (hdr Header) Reads() bool { return hdr.flags&flagReads != 0 }
+
 // Fresh reports whether the sender's state was confirmed lately.
 func (hdr Header) Fresh() bool { return hdr.flags&flagFresh != 0 }
--- a/core/track/inquiry.go
+++ b/core/track/inquiry.go
@@ -28,9 +28,9 @@
 
 // questions are those that wait for one agent.
 type questions struct {
-	service uint64
-	keys    []flow.Key
-	acks    map[flow.Key]uint32
+	agent *fleet.Agent
+	keys  []flow.Key
+	acks  map[flow.Key]uint32
 }
 
 func newInquiry(linkBytes float64) inquiry {
@@ -45,7 +45,7 @@
 		inq.queues[agt.IP()] = que
 		inq.order = append(inq.order, agt.IP())
 	}
-	que.service = agt.ServiceID()
+	que.agent = agt
 	if _, waits := que.acks[key]; !waits {
 		que.keys = append(que.keys, key)
 	}
@@ -74,8 +74,9 @@
 	} else {
 		delete(inq.queues, ip)
 	}
+	que.agent.NoteAsked(now)
 	inq.credit -= float64(lineBytes + hop.HeaderBytes + len(list))
-	return ip, hop.New(hop.Seek, que.service, flow.Key{}), list, true
+	return ip, hop.New(hop.Seek, que.agent.ServiceID(), flow.Key{}), list, true
 }
 
 // Ask sends the questions that have come together, as far as their rate allows.
--- a/core/track/opener.go
+++ b/core/track/opener.go
@@ -64,7 +64,7 @@
 	ent.tries = append(ent.tries, attempt{ip: agt.IP(), sentAt: now})
 	ent.copyTries++
 	ent.deadline = now.Add(tbl.answers.limit())
-	agt.NoteOpening()
+	agt.NoteOpening(now)
 	tbl.notice(key, Asked, agt.IP())
 	tbl.sendOpening(agt.IP(), key, ent)
 }
--- a/core/track/proof_test.go
+++ b/core/track/proof_test.go
@@ -55,6 +55,19 @@
 	assertResets(t, bch.deny(start, 1), AllDenied)
 }
 
+// An agent that was down when it was asked is asked as soon as it is heard.
+func TestAgentThatIsHeardAgainIsAsked(t *testing.T) {
+	bch := newBench(2)
+	bch.data(1, start)
+	bch.deny(start, 1)
+	bch.AskAgain(bch.fleet.Agent(vm(2)))
+	bch.AskAgain(bch.fleet.Agent(vm(1)))
+	bch.Ask(start.Add(time.Second))
+	asked := sends(bch.Take())
+	assert.Equal(t, len(asked), 1)
+	assert.Equal(t, asked[0].Agent(), vm(2))
+}
+
 // A packet is tried only at services that its route is known to have led to.
 func TestNoTryAtAServiceThatTheRouteNeverLedTo(t *testing.T) {
 	bch := newMoved(start)
--- a/core/track/seek.go
+++ b/core/track/seek.go
@@ -114,6 +114,21 @@
 	}
 }
 
+// AskAgain asks an agent that is heard again, after it had left something
+// unanswered, about the flows that are sought: their clients wait for its word.
+func (tbl *Table) AskAgain(agt *fleet.Agent) {
+	ip := agt.IP()
+	for key, ent := range tbl.pending {
+		sch := &ent.search
+		if ent.phase != seeking || slices.Contains(sch.denied, ip) || slices.Contains(sch.unsure, ip) || sch.trying == ip {
+			continue
+		}
+		if sch.wide || slices.Contains(tbl.services(key, ent), agt.Server().Service()) {
+			tbl.inquiry.add(agt, key, ent.ack)
+		}
+	}
+}
+
 // advance takes the next step of a search whose step has run out of time.
 func (tbl *Table) advance(key flow.Key, ent *entry, now time.Time) {
 	ent.search.noteLostTry()
@@ -136,7 +151,7 @@
 // one.
 func (tbl *Table) tryNext(key flow.Key, ent *entry, now time.Time) bool {
 	sch := &ent.search
-	if !sch.wide && !tbl.known(ent, now) && tbl.widen(key, ent, now) {
+	if !tbl.known(ent, now) && !tbl.young(now) && tbl.widen(key, ent, now) {
 		return true // Questions harm no flow, and packets at other upstreams may.
 	}
 	if sch.tries >= tbl.triesLeft(key, ent, now) {
@@ -178,7 +193,7 @@
 	switch {
 	case !tbl.allHeard(key, ent, now):
 		return blindTries
-	case tbl.known(ent, now), !tbl.board.Complete(now) && now.Before(tbl.youngTill):
+	case tbl.known(ent, now), tbl.young(now):
 		return math.MaxInt
 	case !ent.search.wide || tbl.unsureElsewhere(key, ent):
 		return lostTries
@@ -187,6 +202,12 @@
 	}
 }
 
+// young reports whether the process has just started and found nobody who knows
+// former routes: as a rule every process has just started then.
+func (tbl *Table) young(now time.Time) bool {
+	return !tbl.board.Complete(now) && now.Before(tbl.youngTill)
+}
+
 // unsureElsewhere reports whether an agent cannot tell whether it holds the flow
 // whose service the flow's route is not known to have led to.
 func (tbl *Table) unsureElsewhere(key flow.Key, ent *entry) bool {
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -27,7 +27,7 @@
 	wideLimit  = 256                     // Agents of a fleet in which all may be asked about one flow: 4 KB of questions.
 	blindTries = 2                       // Packets of a flow that upstreams get in vain while an agent is not heard; a third one breaks the flow if that agent holds it.
 	lostTries  = 1                       // The same where nobody knows former routes: the flow's next balancers try it too.
-	youngTime  = 4 * time.Second         // After its start a balancer tries unsure agents freely: as a rule all processes have just started with it.
+	youngTime  = 4 * time.Second         // After its start a balancer that found no older process tries unsure agents freely.
 	triesACopy = 2                       // Agents that are asked to open a flow for each copy of its opening.
 )
 
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -105,6 +105,7 @@
 // upstream the agent stands beside.
 func (agt *agent) adopt(set *conf.Settings) {
 	agt.store.SetAddress(set.Platform())
+	agt.rep.SetSeeds(agt.seeds(set))
 	agt.mu.Lock()
 	defer agt.mu.Unlock()
 	agt.set = set
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -22,6 +22,7 @@
 // Timing and limits of a balancer.
 const (
 	beatsPerSecond = 40                      // Heartbeats that a balancer sends to agents, 4 KB/s both ways; fewer agents get them more often.
+	askAgainTime   = 100 * time.Millisecond  // An agent that is heard after such a silence may have lost the questions before.
 	leaveAtLeast   = 1200 * time.Millisecond // Routers look twice a second and stop sending after two misses.
 	leaveQuiet     = 300 * time.Millisecond  // A leaving balancer ends when nothing came for this long.
 	graceMargin    = time.Second             // A leaving balancer ends this long before it would be killed.
@@ -40,8 +41,7 @@
 	meter   *balancerMeter
 	lastAt  time.Time // When the last packet of a client came.
 	beatAt  time.Time
-	beatsTo [][4]byte // Agents that this round of heartbeats has not reached yet.
-	roundAt time.Time
+	beatsTo [][4]byte             // Agents that this round of heartbeats has not reached yet.
 	named   map[[4]byte]time.Time // Balancers that others named, and until when that counts.
 	leaving bool
 	wake    chan struct{}
@@ -98,6 +98,7 @@
 // adopt takes changed settings into use: the platform's address and the seeds.
 func (blc *balancer) adopt(set *conf.Settings) {
 	blc.store.SetAddress(set.Platform())
+	blc.rep.SetSeeds(blc.seeds(set))
 	blc.mu.Lock()
 	defer blc.mu.Unlock()
 	blc.set = set
@@ -206,7 +207,12 @@
 	if agt == nil {
 		return
 	}
-	if agt.NoteHeard(hdr, now) {
+	silent := agt.Owes(askAgainTime, now)
+	changed := agt.NoteHeard(hdr, now)
+	if silent {
+		blc.table.AskAgain(agt)
+	}
+	if changed {
 		blc.log.Info("agent", zap.Stringer("vm", from.Addr()), zap.Bool("leaving", hdr.Leaving()), zap.Bool("upstreamDown", hdr.Down()))
 	}
 }
--- a/io/carry/base.go
+++ b/io/carry/base.go
@@ -76,17 +76,15 @@
 		sup:         suture.New(set.Name(), suture.Spec{EventHook: func(evt suture.Event) { log.Warn("supervisor", zap.String("event", evt.String())) }}),
 	}
 	bas.store = platform.NewStore(set.Platform())
-	bas.rep = gossip.New(bas.store, platform.HistoryLost, self.Addr().As4(), balancer, bas.seeds(), log)
+	bas.rep = gossip.New(bas.store, platform.HistoryLost, self.Addr().As4(), balancer, set.FirstStart(), bas.seeds(set), log)
 	return bas, nil
 }
 
-// seeds returns the addresses of other processes that may know the state already.
-func (bas *base) seeds() []netip.AddrPort {
+// seeds returns where the seeds listen for other processes.
+func (bas *base) seeds(set *conf.Settings) []netip.AddrPort {
 	var all []netip.AddrPort
-	for _, seed := range bas.set.Seeds() {
-		if seed.Addr() != bas.self.Addr() {
-			all = append(all, netip.AddrPortFrom(seed.Addr(), bas.self.Port()))
-		}
+	for _, seed := range set.Seeds() {
+		all = append(all, netip.AddrPortFrom(seed.Addr(), bas.self.Port()))
 	}
 	return all
 }
@@ -152,6 +150,9 @@
 	if bas.rep.Able() {
 		hdr = hdr.WithAble()
 	}
+	if bas.rep.Reading() {
+		hdr = hdr.WithReads()
+	}
 	return hdr
 }
 
@@ -161,7 +162,7 @@
 		return
 	}
 	confirmed := now.Add(-time.Duration(hdr.Seq()) * time.Millisecond)
-	bas.rep.Heard(from, hdr.Service() == 0, hdr.Able(), hdr.Revision(), confirmed, now)
+	bas.rep.Heard(from, hdr.Service() == 0, hdr.Able(), hdr.Reads(), hdr.Revision(), confirmed, now)
 }
 
 // spread tells some agents at once that this process knows a new state.
--- a/io/carry/beat.go
+++ b/io/carry/beat.go
@@ -2,11 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
 // Limits of the heartbeats between balancers.
 const (
+	beatsAnInterval = int(beatsPerSecond * beatInterval / time.Second)
+	owingBeaten     = 5               // Agents that owe an answer and are asked again at an interval.
 	balancersBeaten = 10              // Balancers that a round of heartbeats reaches: 40 heartbeats a second.
 	balancersNamed  = 8               // Balancers that a heartbeat names.
 	namedTime       = 3 * time.Second // A balancer that was named and not heard is beaten for this long.
@@ -15,63 +18,100 @@
 // beats sends the heartbeats that are due. A round reaches every agent; a large
 // fleet's round takes longer, at a bounded rate.
 func (blc *balancer) beats(now time.Time) {
-	if len(blc.beatsTo) == 0 && !now.Before(blc.roundAt) {
-		blc.roundAt = now.Add(beatInterval)
+	if now.Before(blc.beatAt) {
+		return
+	}
+	blc.beatAt = now.Add(beatInterval)
+	blc.beatBalancers(len(blc.beatsTo) == 0, now)
+	if len(blc.beatsTo) == 0 {
 		agts := blc.fleet.All()
 		for _, at := range rand.Perm(len(agts)) { // In an order of its own: balancers that start together would all beat one agent at once.
 			blc.beatsTo = append(blc.beatsTo, agts[at].IP())
 		}
-		blc.beatBalancers(now)
 	}
-	if now.Before(blc.beatAt) || len(blc.beatsTo) == 0 {
-		return
+	count := min(len(blc.beatsTo), beatsAnInterval)
+	due := blc.beatsTo[:count]
+	blc.beatsTo = blc.beatsTo[count:]
+	if len(blc.fleet.All()) > beatsAnInterval {
+		due = append(blc.owing(now), due...)
 	}
-	blc.beatAt = now.Add(beatInterval)
-	count := min(len(blc.beatsTo), int(beatsPerSecond*beatInterval/time.Second))
 	hdr := blc.beat(0, now)
-	for _, ip := range blc.beatsTo[:count] {
+	for _, ip := range due[:min(len(due), beatsAnInterval+owingBeaten)] {
 		if agt := blc.fleet.Agent(ip); agt != nil {
-			agt.NoteBeat(now)
+			agt.NoteAsked(now)
 			blc.post.framed(hdr, nil, addrOf(ip, blc.self.Port()))
 		}
 	}
-	blc.beatsTo = blc.beatsTo[count:]
 }
 
-// beatBalancers sends a heartbeat to balancers: the seeds, those that were heard,
-// and those that others have named. It names some in turn, so that all balancers
-// of a small fleet come to know each other.
-func (blc *balancer) beatBalancers(now time.Time) {
-	known := make(map[[4]byte]bool)
+// owing returns some agents that have left something unanswered: they are asked
+// again before their turn, as one lost datagram is no evidence.
+func (blc *balancer) owing(now time.Time) [][4]byte {
+	var ips [][4]byte
+	agts := blc.fleet.All()
+	for _, at := range rand.Perm(len(agts)) {
+		if len(ips) < owingBeaten && agts[at].Owes(beatInterval, now) {
+			ips = append(ips, agts[at].IP())
+		}
+	}
+	return ips
+}
+
+// beatBalancers sends a heartbeat to balancers. Those that read the platform, or
+// are to, hear each other at every interval, however large the fleet is. Once a
+// round everybody tells the seeds and some others, and names some, so that all
+// balancers come to know each other.
+func (blc *balancer) beatBalancers(round bool, now time.Time) {
+	heard, reading := blc.rep.Balancers(now)
+	first, self := make(map[[4]byte]bool), blc.self.Addr().As4()
 	for _, seed := range blc.set.Seeds() {
-		known[seed.Addr().As4()] = true
+		first[seed.Addr().As4()] = true
 	}
-	heard := blc.rep.Balancers(now)
-	for _, ip := range heard {
-		known[ip] = true
+	isSeed := first[self]
+	for _, ip := range reading {
+		first[ip] = true
 	}
-	for ip, until := range blc.named {
-		if now.Before(until) {
-			known[ip] = true
-		} else {
-			delete(blc.named, ip)
-		}
+	delete(first, self)
+	if !round && !isSeed && !blc.rep.Reading() {
+		return
+	}
+	hdr, names := blc.beat(0, now), nameSome(reading, heard)
+	for ip := range first {
+		blc.post.framed(hdr, names, addrOf(ip, blc.self.Port()))
 	}
-	delete(known, blc.self.Addr().As4())
-	hdr, names := blc.beat(0, now), nameSome(heard)
+	if !round {
+		return
+	}
+	others := blc.others(heard, now)
 	sent := 0
-	for ip := range known { // In random order.
-		if sent == balancersBeaten {
-			return
+	for _, at := range rand.Perm(len(others)) {
+		if ip := others[at]; sent < balancersBeaten && ip != self && !first[ip] {
+			blc.post.framed(hdr, names, addrOf(ip, blc.self.Port()))
+			sent++
 		}
-		blc.post.framed(hdr, names, addrOf(ip, blc.self.Port()))
-		sent++
 	}
 }
 
-// nameSome returns the IP numbers of some balancers, to name them to others.
-func nameSome(heard [][4]byte) []byte {
+// others returns the balancers that were heard, and those that were named.
+func (blc *balancer) others(heard [][4]byte, now time.Time) [][4]byte {
+	known := slices.Clone(heard)
+	for ip, until := range blc.named {
+		if !now.Before(until) {
+			delete(blc.named, ip)
+		} else if !slices.Contains(heard, ip) {
+			known = append(known, ip)
+		}
+	}
+	return known
+}
+
+// nameSome returns the IP numbers of some balancers, to name them to others: first
+// those that read the platform, so that they come to hear each other.
+func nameSome(reading, heard [][4]byte) []byte {
 	var names []byte
+	for _, ip := range reading[:min(len(reading), balancersNamed/2)] {
+		names = append(names, ip[:]...)
+	}
 	for _, at := range rand.Perm(len(heard)) {
 		if len(names) < balancersNamed*len(heard[at]) {
 			names = append(names, heard[at][:]...)
--- a/io/carry/state.go
+++ b/io/carry/state.go
@@ -71,7 +71,7 @@
 		blc.log.Info("ready", zap.Uint64("version", blc.board.State().Version()), zap.Int("upstreams", blc.fleet.Len()))
 	}
 	if len(items) > 0 {
-		blc.roundAt, blc.beatAt = now, now
+		blc.beatAt = now
 		blc.spread(blc.beat(0, now), blc.fleet.All())
 		blc.post.flush()
 		blc.awake()
--- a/io/gossip/replica.go
+++ b/io/gossip/replica.go
@@ -6,9 +6,11 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -21,13 +23,14 @@
 
 // Timing and limits.
 const (
-	watchWait   = 2 * time.Second        // A call to the platform waits this long for changes; a silent connection is found soon after.
+	watchWait   = time.Second            // A call to the platform waits this long for changes; a silent connection is found soon after.
 	idleDelay   = 100 * time.Millisecond // Between two looks whether reading is this process's duty.
 	retryDelay  = 250 * time.Millisecond // After the first failed call, doubled up to maxRetry.
 	maxRetry    = 2 * time.Second
 	pullTimeout = 700 * time.Millisecond // For a peer's answer; it is some milliseconds away.
 	maxAsks     = 4                      // Peers that a process asks for former routes after its start.
-	joinTime    = 150 * time.Millisecond // For the seeds' answers at the start; they are some milliseconds away.
+	joinTime    = 60 * time.Millisecond  // For each seed's answer after a restart; they are some milliseconds away.
+	watchPause  = 100 * time.Millisecond // After changes, so that the next call brings several.
 	maxUpdate   = 32 << 20               // Bytes of a peer's answer.
 )
 
@@ -58,6 +61,7 @@
 	log    *zap.Logger
 	client *http.Client
 	seeds  []netip.AddrPort
+	first  bool
 	past   Past
 
 	applyMu sync.Mutex // Held to change the mirror and to hand on what changed, in order.
@@ -73,9 +77,9 @@
 	calls   uint64
 }
 
-// New returns an empty replica of a process on the VM with an IP number.
-// Seeds are processes that it asks for their state at the start.
-func New(sto Store, lost Lost, self [4]byte, balancer bool, seeds []netip.AddrPort, log *zap.Logger) *Replica {
+// New returns an empty replica of a process on the VM with an IP number. With first
+// set the whole system starts for the first time. Seeds are processes that it asks for their state at the start.
+func New(sto Store, lost Lost, self [4]byte, balancer, first bool, seeds []netip.AddrPort, log *zap.Logger) *Replica {
 	dialer := &net.Dialer{Timeout: pullTimeout, KeepAlive: -1}
 	return &Replica{
 		store:  sto,
@@ -83,11 +87,27 @@
 		log:    log,
 		client: &http.Client{Timeout: pullTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
 		mir:    mirror.New(),
-		duty:   mirror.NewDuty(self, balancer),
-		seeds:  seeds,
+		first:  first,
+		duty:   mirror.NewDuty(self, balancer, ipsOf(seeds)),
+		seeds:  slices.DeleteFunc(slices.Clone(seeds), func(seed netip.AddrPort) bool { return seed.Addr() == netip.AddrFrom4(self) }),
 	}
 }
 
+// SetSeeds sets which balancers read the platform from now on.
+func (rep *Replica) SetSeeds(seeds []netip.AddrPort) {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	rep.duty.SetSeeds(ipsOf(seeds))
+}
+
+func ipsOf(addrs []netip.AddrPort) [][4]byte {
+	var ips [][4]byte
+	for _, addr := range addrs {
+		ips = append(ips, addr.Addr().As4())
+	}
+	return ips
+}
+
 // OnChange sets who takes what is new, and who tells peers of former routes. It
 // is called before Serve.
 func (rep *Replica) OnChange(apl Apply, pst Past) { rep.apply, rep.past = apl, pst }
@@ -113,8 +133,16 @@
 	return rep.duty.Able()
 }
 
-// Balancers returns the balancers that were heard lately.
-func (rep *Replica) Balancers(now time.Time) [][4]byte {
+// Reading reports whether this process reads the platform.
+func (rep *Replica) Reading() bool {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	return rep.reading
+}
+
+// Balancers returns the balancers that were heard lately, and of those the ones
+// that read the platform.
+func (rep *Replica) Balancers(now time.Time) (heard, reading [][4]byte) {
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
 	return rep.duty.Balancers(now)
@@ -122,11 +150,11 @@
 
 // Heard takes a peer's word on what it knows: a revision that it confirmed at a
 // time. A peer that knows more is asked for it.
-func (rep *Replica) Heard(from netip.AddrPort, balancer, able bool, revision uint64, confirmedAt, now time.Time) {
+func (rep *Replica) Heard(from netip.AddrPort, balancer, able, reads bool, revision uint64, confirmedAt, now time.Time) {
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
 	if balancer {
-		rep.duty.NotePeer(from.Addr().As4(), able, now)
+		rep.duty.NotePeer(from.Addr().As4(), able, reads, now)
 	}
 	if revision <= rep.mir.Revision() {
 		if revision == rep.mir.Revision() {
@@ -159,7 +187,7 @@
 			return
 		}
 		rep.mu.Unlock()
-		upd, err := rep.fetch(source, after)
+		upd, err := rep.fetch(context.Background(), source, after)
 		if err != nil {
 			rep.log.Info("peer did not answer", zap.Stringer("peer", source), zap.Uint64("after", after), zap.Error(err))
 			rep.mu.Lock()
@@ -184,7 +212,7 @@
 	var upd update
 	var err error
 	if !complete {
-		upd, err = rep.fetch(source, after)
+		upd, err = rep.fetch(context.Background(), source, after)
 	}
 	rep.mu.Lock()
 	rep.pulling = false
@@ -207,8 +235,12 @@
 
 func (err *StatusError) Error() string { return fmt.Sprintf("gossip: peer answered %d", err.code) }
 
-func (rep *Replica) fetch(source netip.AddrPort, after uint64) (update, error) {
-	rsp, err := rep.client.Get("http://" + source.String() + ChangesPath + "?after=" + strconv.FormatUint(after, 10))
+func (rep *Replica) fetch(ctx context.Context, source netip.AddrPort, after uint64) (update, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+source.String()+ChangesPath+"?after="+strconv.FormatUint(after, 10), nil)
+	if err != nil {
+		return update{}, err
+	}
+	rsp, err := rep.client.Do(req)
 	if err != nil {
 		return update{}, err
 	}
@@ -291,6 +323,9 @@
 // Serve asks the seeds for the state, and then reads the platform whenever that is
 // this process's duty, until ctx ends.
 func (rep *Replica) Serve(ctx context.Context) error {
+	if rep.first {
+		sleep(ctx, time.Until(rep.duty.FirstAt(time.Now())))
+	}
 	stale := rep.join(ctx)
 	delay := retryDelay
 	for ctx.Err() == nil {
@@ -316,54 +351,68 @@
 }
 
 // join takes the state of a process that has run for longer: it knows former
-// routes too, and the platform is spared a call. Where none answers, as at the
-// start of the whole system, the platform is read. A state that was not confirmed
-// lately, as of a seed that is cut off, is not adopted but returned.
+// routes too, and the platform is spared a call. A process that is restarted asks
+// all seeds and waits only for a moment, as flows wait for it; whoever starts
+// together with the whole system has time to ask one after the other. A state
+// that was not confirmed lately, as of a seed that is cut off, is not adopted but
+// returned.
 func (rep *Replica) join(ctx context.Context) (stale *update) {
-	answers := make(chan answer, len(rep.seeds))
-	for _, seed := range rep.seeds {
-		go func() {
-			upd, err := rep.fetch(seed, 0)
-			answers <- answer{seed, upd, err}
-		}()
-	}
-	timer := time.NewTimer(joinTime)
-	defer timer.Stop()
-	for range rep.seeds {
-		select {
-		case ans := <-answers:
-			if !rep.takeSeed(ans, time.Now()) && ans.err == nil && (stale == nil || ans.upd.revision > stale.revision) {
-				stale = &ans.upd
+	joined := make(chan *update, len(rep.seeds))
+	for _, at := range rand.Perm(len(rep.seeds)) { // Processes that start together ask different seeds first.
+		go func() { joined <- rep.askSeed(ctx, rep.seeds[at]) }()
+		if rep.first {
+			if rep.takeStale(joined, &stale, pullTimeout); rep.Revision() > 0 {
+				return nil
 			}
-		case <-timer.C:
-			return stale
-		case <-ctx.Done():
-			return stale
+		}
+	}
+	for range rep.seeds {
+		if rep.first || !rep.takeStale(joined, &stale, joinTime) || rep.Revision() > 0 {
+			break
 		}
 	}
 	return stale
 }
 
-// answer is what a seed answered.
-type answer struct {
-	seed netip.AddrPort
-	upd  update
-	err  error
+// takeStale waits for a seed's answer and keeps the newest state that was not
+// adopted. It reports whether an answer came.
+func (rep *Replica) takeStale(joined <-chan *update, stale **update, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case upd := <-joined:
+		if upd != nil && (*stale == nil || upd.revision > (*stale).revision) {
+			*stale = upd
+		}
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// askSeed asks a seed for its state, and returns it unless it was adopted or could
+// not be had.
+func (rep *Replica) askSeed(ctx context.Context, seed netip.AddrPort) *update {
+	upd, err := rep.fetch(ctx, seed, 0)
+	if err != nil {
+		rep.log.Info("seed did not answer", zap.Stringer("seed", seed), zap.Error(err))
+		return nil
+	}
+	if upd.revision == 0 || rep.takeSeed(seed, upd, time.Now()) {
+		return nil
+	}
+	return &upd
 }
 
 // takeSeed adopts a seed's state if it was confirmed lately, and reports whether
 // it did.
-func (rep *Replica) takeSeed(ans answer, now time.Time) bool {
-	if ans.err != nil {
-		rep.log.Info("seed did not answer", zap.Stringer("seed", ans.seed), zap.Error(ans.err))
-		return false
-	}
-	age := now.Sub(ans.upd.confirmedAt)
-	fresh := ans.upd.revision > 0 && age < mirror.StaleTime
-	rep.log.Info("seed answered", zap.Stringer("seed", ans.seed), zap.Uint64("revision", ans.upd.revision), zap.Bool("adopted", fresh),
-		zap.Duration("reach", now.Sub(ans.upd.history.Since())), zap.Duration("age", age))
+func (rep *Replica) takeSeed(seed netip.AddrPort, upd update, now time.Time) bool {
+	age := now.Sub(upd.confirmedAt)
+	fresh := upd.revision > 0 && age < mirror.StaleTime
+	rep.log.Info("seed answered", zap.Stringer("seed", seed), zap.Uint64("revision", upd.revision), zap.Bool("adopted", fresh),
+		zap.Duration("reach", now.Sub(upd.history.Since())), zap.Duration("age", age))
 	if fresh {
-		rep.adoptTold(ans.upd, now)
+		rep.adoptTold(upd, now)
 	}
 	return fresh
 }
@@ -394,6 +443,9 @@
 	}
 	if err == nil {
 		rep.adoptCall(update{after: after, revision: revision, items: items}, time.Now())
+		if len(items) > 0 {
+			sleep(ctx, watchPause)
+		}
 	}
 	return err
 }
