Bound the free tries of a process that starts to 2 s

Cause: courses with a loss of every process broke flows 4 to 6 s after it: a balancer that was replaced by plan took itself for as young as the loss, and tries of the first 4 s fell into the time in which flows count. A process is young now only while its history, the inherited one included, is shorter than 2 s; later two tries a search are made while the holder may be at a service that nobody knows of. Logs print no age for what never was.

--- a/core/intent/board.go
+++ b/core/intent/board.go
@@ -83,6 +83,9 @@
 	return his
 }
 
+// Since returns from when on the board lacks no state.
+func (brd *Board) Since() time.Time { return brd.history.since }
+
 // Complete reports whether the board knows of every service that may hold an
 // open flow: its history is longer than flows live.
 func (brd *Board) Complete(now time.Time) bool { return brd.history.Complete(now) }
--- a/core/track/proof_test.go
+++ b/core/track/proof_test.go
@@ -11,8 +11,6 @@
 	"lagoondrum/core/intent"
 )
 
-var upload = hop.ServiceID("upload")
-
 // newMoved returns a balancer that starts after its route has moved from "feed",
 // at VM 1, to "upload", at VM 2.
 func newMoved(since time.Time) *bench {
--- a/core/track/seek.go
+++ b/core/track/seek.go
@@ -196,16 +196,16 @@
 	case tbl.known(ent, now), tbl.young(now):
 		return math.MaxInt
 	case !ent.search.wide || tbl.unsureElsewhere(key, ent):
-		return lostTries
+		return blindTries
 	default:
 		return math.MaxInt
 	}
 }
 
-// young reports whether the process has just started and found nobody who knows
-// former routes: as a rule every process has just started then.
+// young reports whether the process has just started, and found none that is
+// older: as a rule every process has just started then.
 func (tbl *Table) young(now time.Time) bool {
-	return !tbl.board.Complete(now) && now.Before(tbl.youngTill)
+	return now.Before(tbl.youngTill) && tbl.board.Since().After(now.Add(-youngTime))
 }
 
 // unsureElsewhere reports whether an agent cannot tell whether it holds the flow
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -26,8 +26,7 @@
 	firstWave  = 16                      // Agents asked first; all of a small service.
 	wideLimit  = 256                     // Agents of a fleet in which all may be asked about one flow: 4 KB of questions.
 	blindTries = 2                       // Packets of a flow that upstreams get in vain while an agent is not heard; a third one breaks the flow if that agent holds it.
-	lostTries  = 1                       // The same where nobody knows former routes: the flow's next balancers try it too.
-	youngTime  = 4 * time.Second         // After its start a balancer that found no older process tries unsure agents freely.
+	youngTime  = 2 * time.Second         // After its start a balancer that found no older process tries unsure agents freely: flows are not settled yet.
 	triesACopy = 2                       // Agents that are asked to open a flow for each copy of its opening.
 )
 
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -244,10 +244,10 @@
 	if ent == nil {
 		return
 	}
-	fields := []zap.Field{zap.Stringer("flow", act.Key()), zap.Uint64("version", blc.board.State().Version()), zap.Duration("stateAge", now.Sub(blc.rep.ConfirmedAt()))}
+	fields := []zap.Field{zap.Stringer("flow", act.Key()), zap.Uint64("version", blc.board.State().Version()), logs.Age("stateAge", blc.rep.ConfirmedAt(), now)}
 	if agt != nil {
 		fields = append(fields, zap.Stringer("agent", netip.AddrFrom4(act.Agent())), zap.String("upstream", agt.Server().ID()), zap.Float64("requests", agt.Load().Requests()),
-			zap.Int("flows", agt.Load().Flows()), zap.Int("pending", agt.Pending()), zap.Duration("loadAge", now.Sub(agt.HeardAt())))
+			zap.Int("flows", agt.Load().Flows()), zap.Int("pending", agt.Pending()), logs.Age("loadAge", agt.HeardAt(), now))
 	}
 	if act.Took() > 0 {
 		fields = append(fields, zap.Duration("took", act.Took()))
--- a/io/gossip/replica.go
+++ b/io/gossip/replica.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"lagoondrum/core/mirror"
+	"lagoondrum/io/logs"
 )
 
 // Timing and limits.
@@ -226,7 +227,7 @@
 	case !complete:
 		now := time.Now()
 		rep.adoptTold(upd, now)
-		rep.log.Info("former routes learned", zap.Stringer("peer", source), zap.Duration("reach", now.Sub(upd.history.Since())))
+		rep.log.Info("former routes learned", zap.Stringer("peer", source), zap.Bool("historyComplete", upd.history.Complete(now)))
 	}
 }
 
@@ -407,10 +408,9 @@
 // takeSeed adopts a seed's state if it was confirmed lately, and reports whether
 // it did.
 func (rep *Replica) takeSeed(seed netip.AddrPort, upd update, now time.Time) bool {
-	age := now.Sub(upd.confirmedAt)
-	fresh := upd.revision > 0 && age < mirror.StaleTime
+	fresh := upd.revision > 0 && now.Sub(upd.confirmedAt) < mirror.StaleTime
 	rep.log.Info("seed answered", zap.Stringer("seed", seed), zap.Uint64("revision", upd.revision), zap.Bool("adopted", fresh),
-		zap.Duration("reach", now.Sub(upd.history.Since())), zap.Duration("age", age))
+		zap.Bool("historyComplete", upd.history.Complete(now)), logs.Age("age", upd.confirmedAt, now))
 	if fresh {
 		rep.adoptTold(upd, now)
 	}
@@ -424,7 +424,7 @@
 	if reads != rep.reading {
 		rep.reading = reads
 		rep.log.Info("reading the platform", zap.Bool("reads", reads), zap.Uint64("revision", rep.mir.Revision()),
-			zap.Duration("age", now.Sub(rep.duty.ConfirmedAt())))
+			logs.Age("age", rep.duty.ConfirmedAt(), now))
 	}
 	return reads
 }
--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -103,3 +103,11 @@
 		}))
 	return zap.New(sampled).With(zap.String("process", process))
 }
+
+// Age returns the field of how old something is, and none for what never was.
+func Age(key string, since, now time.Time) zap.Field {
+	if since.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Duration(key, now.Sub(since))
+}
