--- a/core/track/seek.go
+++ b/core/track/seek.go
@@ -1,15 +1,12 @@
 package track
 
 import (
-	"math"
 	"slices"
-	"sort"
 	"time"
 
 	"lagoondrum/core/fleet"
 	"lagoondrum/core/flow"
 	"lagoondrum/core/hop"
-	"lagoondrum/core/place"
 )
 
 // maxDoublings bounds the time between two rounds of a search: 0.8 s.
@@ -117,16 +114,21 @@
 // AskAgain asks an agent that is heard again, after it had left something
 // unanswered, about the flows that are sought: their clients wait for its word.
 func (tbl *Table) AskAgain(agt *fleet.Agent) {
-	ip := agt.IP()
+	var keys []flow.Key
 	for key, ent := range tbl.pending {
-		sch := &ent.search
-		if ent.phase != seeking || slices.Contains(sch.denied, ip) || slices.Contains(sch.unsure, ip) || sch.trying == ip {
-			continue
-		}
-		if sch.wide || slices.Contains(tbl.services(key, ent), agt.Server().Service()) {
-			tbl.inquiry.add(agt, key, ent.ack)
+		if ent.phase == seeking && ent.search.awaits(agt.IP()) && (ent.search.wide || slices.Contains(tbl.services(key, ent), agt.Server().Service())) {
+			keys = append(keys, key)
 		}
 	}
+	flow.Sort(keys)
+	for _, key := range keys {
+		tbl.inquiry.add(agt, key, tbl.pending[key].ack)
+	}
+}
+
+// awaits reports whether an agent has not said what it knows.
+func (sch *search) awaits(ip [4]byte) bool {
+	return !slices.Contains(sch.denied, ip) && !slices.Contains(sch.unsure, ip) && sch.trying != ip
 }
 
 // advance takes the next step of a search whose step has run out of time.
@@ -147,77 +149,6 @@
 	}
 }
 
-// tryNext has the next unsure agent try the packet, and reports whether there is
-// one.
-func (tbl *Table) tryNext(key flow.Key, ent *entry, now time.Time) bool {
-	sch := &ent.search
-	if !tbl.known(ent, now) && !tbl.young(now) && tbl.widen(key, ent, now) {
-		return true // Questions harm no flow, and packets at other upstreams may.
-	}
-	if sch.tries >= tbl.triesLeft(key, ent, now) {
-		return false
-	}
-	sch.answered = true
-	sch.trying = [4]byte{}
-	names := tbl.services(key, ent)
-	for at, ip := range sch.unsure {
-		agt := tbl.fleet.Agent(ip)
-		if agt == nil || slices.Contains(sch.denied, ip) || !slices.Contains(names, agt.Server().Service()) {
-			continue
-		}
-		sch.unsure = slices.Delete(sch.unsure, at, at+1)
-		sch.trying = ip
-		sch.tries++
-		ent.deadline = now.Add(tbl.answers.limit())
-		tbl.send(ip, hop.Try, agt.ServiceID(), key, ent.queue[0])
-		return true
-	}
-	return false
-}
-
-// noteLostTry has an agent that did not answer a try get another one, after those
-// that have not tried yet: either datagram may have been lost.
-func (sch *search) noteLostTry() {
-	ip := sch.trying
-	if ip == ([4]byte{}) || slices.Contains(sch.denied, ip) || slices.Contains(sch.lost, ip) {
-		return
-	}
-	sch.lost = append(sch.lost, ip)
-	sch.unsure = append(sch.unsure, ip)
-}
-
-// triesLeft returns how many unsure agents may be given the packet in one search.
-// When one of those that may get it has to be the holder, if there is any, that is
-// all of them. When it may be another one, too many packets would break the flow.
-func (tbl *Table) triesLeft(key flow.Key, ent *entry, now time.Time) int {
-	switch {
-	case !tbl.allHeard(key, ent, now):
-		return blindTries
-	case tbl.known(ent, now), tbl.young(now):
-		return math.MaxInt
-	case !ent.search.wide || tbl.unsureElsewhere(key, ent):
-		return blindTries
-	default:
-		return math.MaxInt
-	}
-}
-
-// young reports whether the process has just started, and found none that is
-// older: as a rule every process has just started then.
-func (tbl *Table) young(now time.Time) bool {
-	return now.Before(tbl.youngTill) && tbl.board.Since().After(now.Add(-youngTime))
-}
-
-// unsureElsewhere reports whether an agent cannot tell whether it holds the flow
-// whose service the flow's route is not known to have led to.
-func (tbl *Table) unsureElsewhere(key flow.Key, ent *entry) bool {
-	names := tbl.services(key, ent)
-	return slices.ContainsFunc(ent.search.unsure, func(ip [4]byte) bool {
-		agt := tbl.fleet.Agent(ip)
-		return agt != nil && !slices.Contains(names, agt.Server().Service())
-	})
-}
-
 // unsure handles an agent's word that it cannot tell whether it holds a flow.
 func (tbl *Table) unsure(key flow.Key, ent *entry, from [4]byte, now time.Time) {
 	sch := &ent.search
@@ -255,95 +186,6 @@
 	return true
 }
 
-// holders returns the agents of the services that a flow's route is known to have
-// led to, the likeliest first.
-func (tbl *Table) holders(key flow.Key, ent *entry) []*fleet.Agent {
-	var agts []*fleet.Agent
-	for _, name := range tbl.services(key, ent) {
-		agts = append(agts, tbl.fleet.Service(name)...)
-	}
-	if len(agts) > firstWave {
-		hash := place.Hash(key)
-		sort.Slice(agts, func(i, j int) bool { return place.Rank(hash, agts[i].IP()) > place.Rank(hash, agts[j].IP()) })
-	}
-	return agts
-}
-
-// candidates returns the agents that are asked about a flow.
-func (tbl *Table) candidates(key flow.Key, ent *entry) []*fleet.Agent {
-	if ent.search.wide {
-		return tbl.fleet.All()
-	}
-	return tbl.holders(key, ent)
-}
-
-// services returns the services whose upstreams may hold a flow.
-func (tbl *Table) services(key flow.Key, ent *entry) []string {
-	names := tbl.board.Holders(key.Service())
-	if ent.service != "" && !slices.Contains(names, ent.service) {
-		names = append(names, ent.service)
-	}
-	return names
-}
-
-// concluded resets a flow that every agent which could hold it denies. Agents
-// that are dead need not be heard; one that lives and has not answered must.
-func (tbl *Table) concluded(key flow.Key, ent *entry, now time.Time) bool {
-	sch := &ent.search
-	if !sch.deniedBy(tbl.holders(key, ent), now) {
-		return false
-	}
-	if !tbl.known(ent, now) {
-		if tbl.widen(key, ent, now) || !sch.wide || !sch.deniedBy(tbl.fleet.All(), now) {
-			return false
-		}
-	}
-	if len(sch.denied) == 0 {
-		return false
-	}
-	tbl.forgetWith(key, ent, AllDenied, now)
-	return true
-}
-
-// deniedBy reports whether no agent that lives may still hold the flow.
-func (sch *search) deniedBy(agts []*fleet.Agent, now time.Time) bool {
-	return !slices.ContainsFunc(agts, func(agt *fleet.Agent) bool {
-		return !slices.Contains(sch.denied, agt.IP()) && !agt.Dead(now)
-	})
-}
-
-// known reports whether the services that a flow's route has led to are all known.
-// A process that has started lately does not know where a route led before, and
-// one that lags does not know where it leads now; either needs the word of every
-// service.
-func (tbl *Table) known(ent *entry, now time.Time) bool {
-	return tbl.board.Complete(now) && tbl.board.ConfirmedAt().After(ent.search.begunAt)
-}
-
-// widen asks the agents of every service, and reports whether any of those that
-// were not asked before lives. In a fleet where that would fill the link the flow
-// is left alone until the state is confirmed.
-func (tbl *Table) widen(key flow.Key, ent *entry, now time.Time) bool {
-	sch := &ent.search
-	if sch.wide || tbl.fleet.Len() > wideLimit {
-		return false
-	}
-	sch.wide = true
-	asked := false
-	for _, agt := range tbl.fleet.All() {
-		if !slices.Contains(sch.denied, agt.IP()) && !slices.Contains(sch.unsure, agt.IP()) {
-			tbl.inquiry.add(agt, key, ent.ack)
-			asked = asked || !agt.Dead(now)
-		}
-	}
-	if asked {
-		tbl.notice(key, Widened, [4]byte{})
-		sch.answered = false
-		ent.deadline = now.Add(tbl.answers.limit())
-	}
-	return asked
-}
-
 // forgetWith resets a flow and remembers for a while that it is gone.
 func (tbl *Table) forgetWith(key flow.Key, ent *entry, cse Cause, now time.Time) {
 	delete(tbl.pending, key)
--- a/io/gossip/replica.go
+++ b/io/gossip/replica.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -29,8 +28,6 @@
 	retryDelay  = 250 * time.Millisecond // After the first failed call, doubled up to maxRetry.
 	maxRetry    = 2 * time.Second
 	pullTimeout = 700 * time.Millisecond // For a peer's answer; it is some milliseconds away.
-	maxAsks     = 4                      // Peers that a process asks for former routes after its start.
-	joinTime    = 60 * time.Millisecond  // For each seed's answer after a restart; they are some milliseconds away.
 	watchPause  = 100 * time.Millisecond // After changes, so that the next call brings several.
 	maxUpdate   = 32 << 20               // Bytes of a peer's answer.
 )
@@ -206,31 +203,6 @@
 	}
 }
 
-// inherit asks a peer for what it knows of former routes, until this process knows
-// enough of them.
-func (rep *Replica) inherit(source netip.AddrPort, after uint64) {
-	complete := rep.past.History(time.Now()).Complete(time.Now())
-	var upd update
-	var err error
-	if !complete {
-		upd, err = rep.fetch(context.Background(), source, after)
-	}
-	rep.mu.Lock()
-	rep.pulling = false
-	if complete {
-		rep.asks = maxAsks
-	}
-	rep.mu.Unlock()
-	switch {
-	case err != nil:
-		rep.log.Info("peer did not tell former routes", zap.Stringer("peer", source), zap.Error(err))
-	case !complete:
-		now := time.Now()
-		rep.adoptTold(upd, now)
-		rep.log.Info("former routes learned", zap.Stringer("peer", source), zap.Bool("historyComplete", upd.history.Complete(now)))
-	}
-}
-
 // StatusError reports a peer's answer other than success.
 type StatusError struct{ code int }
 
@@ -324,9 +296,6 @@
 // Serve asks the seeds for the state, and then reads the platform whenever that is
 // this process's duty, until ctx ends.
 func (rep *Replica) Serve(ctx context.Context) error {
-	if rep.first {
-		sleep(ctx, time.Until(rep.duty.FirstAt(time.Now())))
-	}
 	stale := rep.join(ctx)
 	delay := retryDelay
 	for ctx.Err() == nil {
@@ -351,72 +320,6 @@
 	return ctx.Err()
 }
 
-// join takes the state of a process that has run for longer: it knows former
-// routes too, and the platform is spared a call. A process that is restarted asks
-// all seeds and waits only for a moment, as flows wait for it; whoever starts
-// together with the whole system has time to ask one after the other. A state
-// that was not confirmed lately, as of a seed that is cut off, is not adopted but
-// returned.
-func (rep *Replica) join(ctx context.Context) (stale *update) {
-	joined := make(chan *update, len(rep.seeds))
-	for _, at := range rand.Perm(len(rep.seeds)) { // Processes that start together ask different seeds first.
-		go func() { joined <- rep.askSeed(ctx, rep.seeds[at]) }()
-		if rep.first {
-			if rep.takeStale(joined, &stale, pullTimeout); rep.Revision() > 0 {
-				return nil
-			}
-		}
-	}
-	for range rep.seeds {
-		if rep.first || !rep.takeStale(joined, &stale, joinTime) || rep.Revision() > 0 {
-			break
-		}
-	}
-	return stale
-}
-
-// takeStale waits for a seed's answer and keeps the newest state that was not
-// adopted. It reports whether an answer came.
-func (rep *Replica) takeStale(joined <-chan *update, stale **update, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case upd := <-joined:
-		if upd != nil && (*stale == nil || upd.revision > (*stale).revision) {
-			*stale = upd
-		}
-		return true
-	case <-timer.C:
-		return false
-	}
-}
-
-// askSeed asks a seed for its state, and returns it unless it was adopted or could
-// not be had.
-func (rep *Replica) askSeed(ctx context.Context, seed netip.AddrPort) *update {
-	upd, err := rep.fetch(ctx, seed, 0)
-	if err != nil {
-		rep.log.Info("seed did not answer", zap.Stringer("seed", seed), zap.Error(err))
-		return nil
-	}
-	if upd.revision == 0 || rep.takeSeed(seed, upd, time.Now()) {
-		return nil
-	}
-	return &upd
-}
-
-// takeSeed adopts a seed's state if it was confirmed lately, and reports whether
-// it did.
-func (rep *Replica) takeSeed(seed netip.AddrPort, upd update, now time.Time) bool {
-	fresh := upd.revision > 0 && now.Sub(upd.confirmedAt) < mirror.StaleTime
-	rep.log.Info("seed answered", zap.Stringer("seed", seed), zap.Uint64("revision", upd.revision), zap.Bool("adopted", fresh),
-		zap.Bool("historyComplete", upd.history.Complete(now)), logs.Age("age", upd.confirmedAt, now))
-	if fresh {
-		rep.adoptTold(upd, now)
-	}
-	return fresh
-}
-
 func (rep *Replica) onDuty(now time.Time) bool {
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
