Refuse waiting openings when an agent ends

Cause: an agent that was restarted under load dropped the openings that waited at it; the balancer goes on counting on it for 1.4 s, after which their clients have given up (requests that had just been accepted, cut by a planned stop). Found by reading. TestLeavingAgentRefusesWhatWaits failed first: now each is refused and offered elsewhere.

--- a/core/owner/room.go
+++ b/core/owner/room.go
@@ -118,6 +118,13 @@
 	}
 }
 
+// Leave ends the agent's taking of flows: what waits is refused, so that other
+// agents take it before its clients give up.
+func (bok *Book) Leave(now time.Time) {
+	bok.leaving = true
+	bok.emptyRoom(hop.Leaving, now)
+}
+
 // emptyRoom refuses all that waits: the upstream takes no new flows any more.
 func (bok *Book) emptyRoom(rsn hop.Reason, now time.Time) {
 	for bok.room.queue.Len() > 0 {
--- a/core/owner/room_test.go
+++ b/core/owner/room_test.go
@@ -151,3 +151,20 @@
 	bok.Tick(start.Add(maxReserve))
 	assertDone(t, bok.Take(), Deliver, 1)
 }
+
+// An agent that ends hands on what waits: the next agent takes it at once, and not
+// when its client has given up.
+func TestLeavingAgentRefusesWhatWaits(t *testing.T) {
+	bok := fullBook(t)
+	for port := range uint16(3) {
+		openAt(bok, 9+port, true, start)
+	}
+	bok.Leave(start)
+	acts := bok.Take()
+	assertTold(t, acts, hop.Refused, hop.Refused, hop.Refused)
+	for _, act := range acts {
+		assert.Equal(t, act.Header().Reason(), hop.Leaving)
+	}
+	assert.Equal(t, bok.Queued(), 0)
+	assertTold(t, openAt(bok, 20, true, start), hop.Refused)
+}
--- a/core/track/bench_test.go
+++ b/core/track/bench_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"lagoondrum/core/fleet"
 	"lagoondrum/core/flow"
 	"lagoondrum/core/hop"
+	"lagoondrum/core/intent"
 )
 
 // hinted returns a table that holds flows, each at its agent.
@@ -86,3 +88,57 @@
 		t.Fatalf("%v allocations a packet", got)
 	}
 }
+
+// BenchmarkResetOfAGoneFlow reports the questions and the rounds of them before a
+// flow that no upstream holds is reset, by a balancer that knows where its route
+// has led and by one that has just started.
+func BenchmarkResetOfAGoneFlow(b *testing.B) {
+	for _, fleets := range []struct{ own, others int }{{7, 4}, {42, 10}} {
+		for name, since := range map[string]time.Time{"known": {}, "young": start} {
+			b.Run(fmt.Sprintf("%s/%d", name, fleets.own+fleets.others), func(b *testing.B) {
+				var questions, rounds int
+				for b.Loop() {
+					asked, turns := playGone(since, fleets.own, fleets.others)
+					questions, rounds = questions+asked, rounds+turns
+				}
+				b.ReportMetric(float64(questions)/float64(b.N), "questions")
+				b.ReportMetric(float64(rounds)/float64(b.N), "rounds")
+			})
+		}
+	}
+}
+
+// playGone has every agent deny a flow until it is reset.
+func playGone(since time.Time, own, others int) (questions, rounds int) {
+	bch := &bench{fleet: fleet.New(), board: intent.NewBoard(since)}
+	bch.adopt(1, "feed")
+	for num := range own + others {
+		service := "feed"
+		if num >= own {
+			service = "upload"
+		}
+		bch.list(num+1, service, 1)
+	}
+	bch.Table = New("z", narrowLink, bch.board, bch.fleet)
+	now := start
+	acts := bch.data(1, now)
+	bch.board.Confirm(now.Add(time.Nanosecond))
+	for {
+		asked := sends(acts)
+		if len(asked) == 0 {
+			return questions, rounds
+		}
+		questions, rounds = questions+len(asked), rounds+1
+		now = now.Add(time.Millisecond)
+		acts = nil
+		for _, act := range asked {
+			acts = append(acts, bch.tell(hop.New(hop.Absent, act.Header().Service(), keyOf(1)), act.Agent(), now)...)
+		}
+		if len(sends(acts)) == 0 { // The rest of a large service is asked in the next wave.
+			now = now.Add(maxAnswer)
+			bch.Tick(now)
+			bch.Ask(now)
+			acts = bch.Take()
+		}
+	}
+}
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -120,7 +120,9 @@
 	now := time.Now()
 	agt.mu.Lock()
 	defer agt.mu.Unlock()
-	agt.log.Info("leaving", zap.Int("flows", agt.book.Flows()))
+	agt.log.Info("leaving", zap.Int("flows", agt.book.Flows()), zap.Int("queued", agt.book.Queued()))
+	agt.book.Leave(now)
+	agt.perform(now)
 	for blc := range agt.balancers {
 		agt.post.framed(agt.beatOut(now).WithLeaving(true), nil, blc)
 	}
