--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -57,7 +57,7 @@
 func main() {
 	app := kingpin.New("bench", "Measure the figures of docs/CAPACITY.md and docs/DESIGN.md.")
 	out := app.Flag("out", "Directory for JSON and plots.").Default("docs/bench").String()
-	parts := app.Flag("parts", "Parts to measure, separated by commas.").Default("core,trials,relay,fleet,flows").String()
+	parts := app.Flag("parts", "Parts to measure, separated by commas.").Default("core,trials,load,relay,fleet,flows").String()
 	measure := app.Command("measure", "Measure the parts and write their reports.").Default()
 	relay := app.Command("relay", "Forward datagrams to the sink that measure opens; measure runs this as a child process.").Hidden()
 	kind := relay.Arg("kind", "Kind of relay: bare or balancer.").Required().String()
@@ -112,6 +112,8 @@
 		return measureCore(rep)
 	case "trials":
 		return measureTrials(rep)
+	case "load":
+		return measureLoad(rep)
 	case "relay":
 		return measureRelay(rep)
 	case "fleet":
--- a/core/simul/overload.go
+++ b/core/simul/overload.go
@@ -15,6 +15,7 @@
 
 // LoadClass describes the requests of one route.
 type LoadClass struct {
+	Shares     []int         // Of each service in the new flows.
 	Rate       float64       // Requests per second of all callers together.
 	Objective  time.Duration // Latency objective, from the first attempt to the answer.
 	Budget     time.Duration // The caller gives a request up after this long.
@@ -30,16 +31,26 @@
 type LoadScenario struct {
 	Name       string
 	Classes    []LoadClass
-	Upstreams  int
+	Services   []int // How many upstreams each service has.
 	Slots      int
 	Queue      int // Requests that an upstream queues; it refuses further ones.
 	Balancers  int
 	Callers    int           // Hosts with an address of their own.
 	Outage     time.Duration // How long everything is without power at the start; 0 for no loss.
-	Lost       int           // Upstreams that are gone for good from the start on.
+	Lost       int           // Upstreams of the first service that are gone for good from the start on.
 	Cold       time.Duration // How long an upstream is slow after its start.
 	ColdFactor float64       // By how much a cold upstream is slower.
 	Surge      float64       // Factor on the rates during the first second; 0 for none.
+	Unqueued   bool          // Agents do not know the slots of their upstreams, so that nothing waits at them.
+}
+
+// upstreams returns how many upstreams all services have.
+func (scn LoadScenario) upstreams() int {
+	sum := 0
+	for _, count := range scn.Services {
+		sum += count
+	}
+	return sum
 }
 
 // Timing of a load scenario.
@@ -74,12 +85,14 @@
 
 // LoadResult holds what the callers of a load scenario got.
 type LoadResult struct {
-	Total   LoadCount
-	Windows [loadWindows]LoadCount // By the time of the first attempt.
+	Total                  LoadCount
+	Windows                [loadWindows]LoadCount // By the time of the first attempt.
+	Classes                []LoadCount
+	RefusedBesideFreeSlots int // Openings that were refused while an upstream of their route had a free slot and nothing queued.
 }
 
-// add counts a request.
-func (cnt *LoadCount) add(req *loadRequest) {
+// note counts a request.
+func (cnt *LoadCount) note(req *loadRequest) {
 	cnt.Asked++
 	switch {
 	case req.answeredAt.IsZero():
@@ -91,6 +104,14 @@
 	}
 }
 
+// Add adds the counts of another run.
+func (cnt *LoadCount) Add(other LoadCount) {
+	cnt.Asked += other.Asked
+	cnt.InTime += other.InTime
+	cnt.Late += other.Late
+	cnt.Failed += other.Failed
+}
+
 // loadRun is one run of the product's decisions under a load.
 type loadRun struct {
 	*Timeline
@@ -106,6 +127,8 @@
 	packets   []flow.Packet // Every packet, by the index that encode returned.
 	lastPort  []uint16      // By caller.
 	lastISN   uint32
+
+	refusedBesideFreeSlots int
 }
 
 // loadBalancer is a balancer.
@@ -118,10 +141,11 @@
 // RunLoad simulates a load.
 func RunLoad(scn LoadScenario, seed uint64) LoadResult {
 	run := playLoad(scn, seed)
-	res := LoadResult{}
+	res := LoadResult{Classes: make([]LoadCount, len(scn.Classes)), RefusedBesideFreeSlots: run.refusedBesideFreeSlots}
 	for _, req := range run.measured() {
-		res.Total.add(req)
-		res.Windows[min(int(req.startedAt.Sub(run.start)/loadWindow), loadWindows-1)].add(req)
+		res.Total.note(req)
+		res.Classes[req.classIndex].note(req)
+		res.Windows[min(int(req.startedAt.Sub(run.start)/loadWindow), loadWindows-1)].note(req)
 	}
 	return res
 }
@@ -137,10 +161,13 @@
 	for num := range scn.Callers {
 		run.callers = append(run.callers, newLoadCaller(num, len(scn.Classes)))
 	}
-	for num := range scn.Upstreams {
-		run.upstreams = append(run.upstreams, &loadUpstream{num: num})
-		run.startUpstream(num, 0)
-		run.startAgent(num)
+	for service, count := range scn.Services {
+		for range count {
+			num := len(run.upstreams)
+			run.upstreams = append(run.upstreams, &loadUpstream{num: num, service: service})
+			run.startUpstream(num, 0)
+			run.startAgent(num)
+		}
 	}
 	for range scn.Balancers {
 		run.balancers = append(run.balancers, &loadBalancer{})
@@ -216,8 +243,11 @@
 	blc.tracker = intent.NewTracker(run.Now())
 	routes := make(map[flow.Endpoint]*intent.Route)
 	for idx, cls := range run.scenario.Classes {
-		rte := intent.NewRoute("", []intent.Share{intent.NewShare(loadService, 1)}).WithPriority(cls.Priority, cls.Objective)
-		routes[classAddress(idx)] = rte
+		var shares []intent.Share
+		for service, weight := range cls.Shares {
+			shares = append(shares, intent.NewShare(serviceName(service), weight))
+		}
+		routes[classAddress(idx)] = intent.NewRoute("", shares).WithPriority(cls.Priority, cls.Objective)
 	}
 	blc.tracker.Adopt(intent.NewState(1, routes, loadIdleTimeout), run.Now())
 	blc.table = track.New("z", loadLinkBytes, blc.tracker, blc.fleet)
@@ -301,12 +331,27 @@
 			run.Schedule(hopDelay, func() { run.handleAtAgent(ups, hdr, payload, num) })
 		case track.Reset:
 			key := act.Key()
+			if act.Cause() == track.AllRefused && run.hasFreeSlot(key.Service()) {
+				run.refusedBesideFreeSlots++
+			}
 			run.Schedule(callerDelay, func() { run.handleReset(key) })
 		case track.Notice:
 		}
 	}
 }
 
+// hasFreeSlot reports whether an upstream that the route of an address leads to has
+// a free slot and nothing queued.
+func (run *loadRun) hasFreeSlot(address flow.Endpoint) bool {
+	shares := run.scenario.Classes[address.IP()[3]-1].Shares
+	for _, ups := range run.upstreams {
+		if shares[ups.service] > 0 && ups.table != nil && ups.flows != nil && ups.running < run.scenario.Slots && ups.table.Queued() == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // encode stores a packet and returns its index as the bytes that represent it.
 func (run *loadRun) encode(pkt flow.Packet) []byte {
 	run.packets = append(run.packets, pkt)
--- a/core/simul/overload_bound.go
+++ b/core/simul/overload_bound.go
@@ -22,7 +22,7 @@
 	if scn.Outage > 0 {
 		upAt = upAt.Add(minStartDelay)
 	}
-	capacity := &loadCapacity{upAt: upAt, slots: float64((scn.Upstreams - scn.Lost) * scn.Slots), factor: 1}
+	capacity := &loadCapacity{upAt: upAt, slots: float64((scn.upstreams() - scn.Lost) * scn.Slots), factor: 1}
 	if scn.Outage > 0 {
 		capacity.coldUntil, capacity.factor = run.start.Add(scn.Outage+scn.Cold), scn.ColdFactor
 	}
@@ -67,17 +67,17 @@
 
 // finish returns when an amount of work ends that begins at start and runs on all
 // slots.
-func (cap *loadCapacity) finish(start time.Time, work time.Duration) time.Time {
-	share := time.Duration(float64(work) / cap.slots)
-	if !start.Before(cap.coldUntil) {
+func (cpc *loadCapacity) finish(start time.Time, work time.Duration) time.Time {
+	share := time.Duration(float64(work) / cpc.slots)
+	if !start.Before(cpc.coldUntil) {
 		return start.Add(share)
 	}
-	cold := time.Duration(float64(share) * cap.factor)
-	if end := start.Add(cold); !end.After(cap.coldUntil) {
+	cold := time.Duration(float64(share) * cpc.factor)
+	if end := start.Add(cold); !end.After(cpc.coldUntil) {
 		return end
 	}
-	done := time.Duration(float64(cap.coldUntil.Sub(start)) / cap.factor)
-	return cap.coldUntil.Add(share - done)
+	done := time.Duration(float64(cpc.coldUntil.Sub(start)) / cpc.factor)
+	return cpc.coldUntil.Add(share - done)
 }
 
 // mostInTime returns how many jobs end by their due times at most. Jobs that are
@@ -98,15 +98,16 @@
 		}
 		taken = append(taken, job)
 		if capacity.endOf(taken, -1).After(job.due) {
-			taken = slices.Delete(taken, capacity.leastUseful(taken), capacity.leastUseful(taken)+1)
+			least := capacity.leastUseful(taken)
+			taken = slices.Delete(taken, least, least+1)
 		}
 	}
 	return count + len(taken)
 }
 
 // endOf returns when all jobs but one end.
-func (cap *loadCapacity) endOf(jobs []boundJob, without int) time.Time {
-	end := cap.upAt
+func (cpc *loadCapacity) endOf(jobs []boundJob, without int) time.Time {
+	end := cpc.upAt
 	for i, job := range jobs {
 		if i == without {
 			continue
@@ -114,16 +115,16 @@
 		if job.releasedAt.After(end) {
 			end = job.releasedAt
 		}
-		end = cap.finish(end, job.work)
+		end = cpc.finish(end, job.work)
 	}
 	return end
 }
 
 // leastUseful returns the index of the job without which the others end first.
-func (cap *loadCapacity) leastUseful(jobs []boundJob) int {
+func (cpc *loadCapacity) leastUseful(jobs []boundJob) int {
 	best, first := 0, time.Time{}
 	for i := range jobs {
-		if end := cap.endOf(jobs, i); first.IsZero() || end.Before(first) {
+		if end := cpc.endOf(jobs, i); first.IsZero() || end.Before(first) {
 			best, first = i, end
 		}
 	}
--- /dev/null
+++ b/core/simul/overload_test.go
@@ -0,0 +1,58 @@
+package simul
+
+import (
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// loadSeeds is the number of seeds of each load.
+const loadSeeds = 3
+
+// playSeeds returns the sum of a load's results over the seeds.
+func playSeeds(scn LoadScenario) LoadResult {
+	sum := LoadResult{Classes: make([]LoadCount, len(scn.Classes))}
+	for seed := range uint64(loadSeeds) {
+		res := RunLoad(scn, seed+1)
+		sum.Total.Add(res.Total)
+		for i, cnt := range res.Classes {
+			sum.Classes[i].Add(cnt)
+		}
+		sum.RefusedBesideFreeSlots += res.RefusedBesideFreeSlots
+	}
+	return sum
+}
+
+// The queue at the agents serves more requests in time than the upstreams' own
+// queues do, and fewer than a scheduler that knows all work in advance.
+func TestLoadIsServedInTime(t *testing.T) {
+	for _, scn := range LoadScenarios() {
+		t.Run(scn.Name, func(t *testing.T) {
+			queued := playSeeds(scn)
+			scn.Unqueued = true
+			unqueued := playSeeds(scn)
+			bound := 0
+			for seed := range uint64(loadSeeds) {
+				bound += LoadBound(scn, seed+1)
+			}
+			t.Logf("at the agents: %+v, at the upstreams: %+v, bound: %d in time", queued.Total, unqueued.Total, bound)
+			assert.Assert(t, queued.Total.InTime > unqueued.Total.InTime)
+			assert.Assert(t, queued.Total.InTime <= bound)
+		})
+	}
+}
+
+// Nobody is refused beside free slots. Of two routes to the same upstreams, the one
+// with the higher priority gets more of its requests answered in time.
+func TestLoadIsRefusedOnlyWithoutCapacity(t *testing.T) {
+	for _, scn := range LoadScenarios() {
+		t.Run(scn.Name, func(t *testing.T) {
+			res := playSeeds(scn)
+			assert.Equal(t, res.RefusedBesideFreeSlots, 0)
+			if len(scn.Classes) > 1 && slices.Equal(scn.Classes[0].Shares, scn.Classes[1].Shares) {
+				assert.Assert(t, res.Classes[1].InTime*res.Classes[0].Asked > res.Classes[0].InTime*res.Classes[1].Asked)
+			}
+		})
+	}
+}
--- a/core/simul/overload_upstream.go
+++ b/core/simul/overload_upstream.go
@@ -10,12 +10,13 @@
 	"lagoondrum/core/flows"
 )
 
-// loadService is the service that all routes lead to.
-const loadService = "desk"
+// serviceName returns the name of a service.
+func serviceName(num int) string { return fmt.Sprintf("service%d", num) }
 
 // loadUpstream is an upstream with its agent.
 type loadUpstream struct {
 	num         int
+	service     int
 	incarnation int
 	lost        bool
 	table       *flows.Table // Of the agent; nil while it is down.
@@ -41,7 +42,7 @@
 // listing returns the platform's entry of an upstream.
 func (run *loadRun) listing(ups *loadUpstream) fleet.Listing {
 	return fleet.Listing{
-		ID: ups.id(), Service: loadService, Address: ups.ip(), Port: 8080, Zone: "z", Slots: run.scenario.Slots,
+		ID: ups.id(), Service: serviceName(ups.service), Address: ups.ip(), Port: 8080, Zone: "z", Slots: run.scenario.Slots,
 		StartMillis: int64(ups.incarnation), ColdFor: max(ups.coldUntil.Sub(run.Now()), 0),
 	}
 }
@@ -56,8 +57,10 @@
 
 func (run *loadRun) startAgent(num int) {
 	ups := run.upstreams[num]
-	ups.table = flows.New(encap.ServiceID(loadService), loadIdleTimeout, run.Now(), true)
-	ups.table.SetSlots(run.scenario.Slots)
+	ups.table = flows.New(encap.ServiceID(serviceName(ups.service)), loadIdleTimeout, run.Now(), true)
+	if !run.scenario.Unqueued {
+		ups.table.SetSlots(run.scenario.Slots)
+	}
 }
 
 // stopUpstream ends an upstream and its agent.
