Accept openings at full upstreams and queue their requests; pass over overdue requests

Change: the first agent that is full refuses, so that one with capacity is found; the second one accepts the opening, and the flow's first request waits with the age of its opening, until the route's timeout. A client that gives up closes its flow; its request goes last, and is dropped at the timeout. A request that waits for thrice the usual answer time takes no capacity. Openings no longer wait at agents, so the balancers' state for that goes; the number of the datagram kind stays reserved. Headers of openings carry the route's timeout. Agents log what waits.

--- a/core/encap/header.go
+++ b/core/encap/header.go
@@ -30,7 +30,7 @@
 	Unsure                    // Agent to balancer: the agent cannot tell, because the flow may be older than its records.
 	Verdicts                  // Agent to balancer: answers a list of queries.
 	Gone                      // Agent to balancer: the flow has ended.
-	Queued                    // Agent to balancer: the opening is queued until the upstream has a free slot.
+	_                         // Earlier versions sent it for an opening that waits for a free slot.
 	Heartbeat                 // Both ways: heartbeat of the sender.
 	kindEnd
 )
@@ -108,10 +108,9 @@
 	key         flow.Key
 	seq         uint32 // Upstream's first sequence number; in a heartbeat the age of the sender's state in milliseconds.
 	load        Load
-	incarnation uint64        // Only in heartbeats.
-	revision    uint64        // Of the platform's state; only in heartbeats.
-	priority    uint8         // Of the route; only in Open, 0 is the highest.
-	objective   time.Duration // Latency objective of the route; only in Open.
+	incarnation uint64       // Only in heartbeats.
+	revision    uint64       // Of the platform's state; only in heartbeats.
+	urgency     flow.Urgency // Of the route; only in Open.
 }
 
 // ServiceID returns the hash that identifies a service in headers.
@@ -145,9 +144,8 @@
 		incarnation: binary.BigEndian.Uint64(data[32:]),
 		revision:    binary.BigEndian.Uint64(data[40:]),
 	}
-	if hdr.kind == Open { // Open carries the priority and the objective in place of the revision.
-		hdr.priority = uint8(hdr.revision >> 32)
-		hdr.objective = time.Duration(uint32(hdr.revision)) * time.Millisecond
+	if hdr.kind == Open { // Open carries the urgency in place of the revision.
+		hdr.urgency = decodeUrgency(hdr.revision)
 		hdr.revision = 0
 	}
 	return hdr, true
@@ -164,20 +162,34 @@
 	binary.BigEndian.PutUint64(buf[32:], hdr.incarnation)
 	revision := hdr.revision
 	if hdr.kind == Open {
-		revision = uint64(hdr.priority)<<32 | uint64(uint32(hdr.objective.Milliseconds()))
+		revision = encodeUrgency(hdr.urgency)
 	}
 	binary.BigEndian.PutUint64(buf[40:], revision)
 }
 
-// WithUrgency returns the header with the priority and the latency objective of
-// an opening's route. The objective is encoded in whole milliseconds.
-func (hdr Header) WithUrgency(priority uint8, objective time.Duration) Header {
-	hdr.priority, hdr.objective = priority, objective
+// maxTimeout is the longest timeout that an opening's header can tell.
+const maxTimeout = (1<<24 - 1) * time.Millisecond
+
+// encodeUrgency packs the priority and, in whole milliseconds, the objective and the
+// timeout of a route.
+func encodeUrgency(urg flow.Urgency) uint64 {
+	timeout := min(urg.Timeout(), maxTimeout)
+	return uint64(timeout.Milliseconds())<<40 | uint64(urg.Priority())<<32 | uint64(uint32(urg.Objective().Milliseconds()))
+}
+
+func decodeUrgency(packed uint64) flow.Urgency {
+	objective := time.Duration(uint32(packed)) * time.Millisecond
+	return flow.NewUrgency(uint8(packed>>32), objective, time.Duration(packed>>40)*time.Millisecond)
+}
+
+// WithUrgency returns the header with the urgency of an opening's route.
+func (hdr Header) WithUrgency(urg flow.Urgency) Header {
+	hdr.urgency = urg
 	return hdr
 }
 
-// WithQueueIfFull returns the header of an opening that the receiver queues if its
-// upstream is full.
+// WithQueueIfFull returns the header of an opening that the receiver accepts although
+// its upstream is full; the first request then waits.
 func (hdr Header) WithQueueIfFull() Header { hdr.flags |= flagQueueIfFull; return hdr }
 
 // WithReason returns the header with the reason of a refusal.
@@ -215,13 +227,11 @@
 // confirmed to be the newest. WithSeq sets how long ago.
 func (hdr Header) WithStateConfirmed() Header { hdr.flags |= flagStateConfirmed; return hdr }
 
-// Priority returns the priority of an opening's route, 0 the highest.
-func (hdr Header) Priority() uint8 { return hdr.priority }
-
-// Objective returns the latency objective of an opening's route, 0 for none.
-func (hdr Header) Objective() time.Duration { return hdr.objective }
+// Urgency returns the urgency of an opening's route.
+func (hdr Header) Urgency() flow.Urgency { return hdr.urgency }
 
-// QueueIfFull reports whether the receiver queues the opening if its upstream is full.
+// QueueIfFull reports whether the receiver accepts the opening although its upstream
+// is full.
 func (hdr Header) QueueIfFull() bool { return hdr.flags&flagQueueIfFull != 0 }
 
 // Kind returns the type of the datagram.
--- a/core/flows/action.go
+++ b/core/flows/action.go
@@ -1,6 +1,8 @@
 package flows
 
 import (
+	"time"
+
 	"lagoondrum/core/encap"
 	"lagoondrum/core/flow"
 )
@@ -10,11 +12,13 @@
 
 // The kinds of actions.
 const (
-	ToUpstream ActionKind = iota + 1 // Send the packet to the upstream.
-	ToClient                         // Send the packet to the flow's client.
-	ToBalancer                       // Send the header, and the packet if there is one, to a balancer.
-	Reset                            // Send the flow's client a reset that the upstream did not write.
-	Probe                            // Find out by a connection attempt whether the upstream runs.
+	ToUpstream   ActionKind = iota + 1 // Send the packet to the upstream.
+	ToClient                           // Send the packet to the flow's client.
+	ToBalancer                         // Send the header, and the packet if there is one, to a balancer.
+	Reset                              // Send the flow's client a reset that the upstream did not write.
+	Probe                              // Find out by a connection attempt whether the upstream runs.
+	NoteQueued                         // Log that a request waits for capacity; nothing is sent.
+	NoteAdmitted                       // Log that a request that waited is delivered; nothing is sent.
 )
 
 // Action is one thing that the agent has to do. It is a struct and not a sealed
@@ -27,6 +31,7 @@
 	seq      uint32 // Of Reset.
 	header   encap.Header
 	packet   []byte
+	deadline time.Time // Of NoteQueued and NoteAdmitted: when the request's objective is missed.
 }
 
 // Kind returns the kind of the action.
@@ -44,5 +49,9 @@
 // Header returns the header that ToBalancer sends.
 func (act Action) Header() encap.Header { return act.header }
 
+// ObjectiveDeadline returns when the latency objective of a request that waits or
+// waited is missed.
+func (act Action) ObjectiveDeadline() time.Time { return act.deadline }
+
 // Packet returns the packet to send, nil when there is none.
 func (act Action) Packet() []byte { return act.packet }
--- a/core/flows/admission.go
+++ b/core/flows/admission.go
@@ -15,16 +15,24 @@
 	minReserveTime = 10 * time.Millisecond // Bounds of how long capacity is reserved for the first request after its opening.
 	maxReserveTime = 100 * time.Millisecond
 	reserveFactor  = 3   // Capacity is reserved for this many times the average time from an opening to its request.
+	overdueFactor  = 3   // A request that waits for this many times the average answer time no longer counts against the limit.
 	averageGain    = 0.1 // Weight of a new value in the moving averages of times.
 )
 
-// admission limits what the upstream is given at once. Further openings wait in a
+// sendOffsets are the times since the start of an attempt at which a client sends
+// the opening packet and its retransmissions.
+var sendOffsets = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+
+// admission limits what the upstream is given at once. Further requests wait in a
 // queue of the agent, where their order can be chosen. The upstream's own queue
-// serves requests in order of arrival and refuses them when it is full.
+// serves requests in order of arrival and refuses them when it is full. Openings are
+// accepted also when their requests will have to wait: a client whose opening is
+// not answered gives up sooner and comes back as if it were a new one.
 type admission struct {
 	slots        int // 0 when not known; then nothing waits.
 	queue        queue.Queue
 	reserved     map[flow.Key]time.Time // Openings delivered whose first request has not come, and until when capacity is reserved for it.
+	announced    map[flow.Key]time.Time // The same for openings without capacity for their request, which will have to wait.
 	requestDelay time.Duration          // Moving average of the time from an opening to its request: a round trip to the client.
 	answerTime   time.Duration          // Moving average of the time from a request to its answer.
 }
@@ -32,8 +40,7 @@
 // SetSlots sets how many requests the upstream runs concurrently.
 func (tbl *Table) SetSlots(slots int) { tbl.admission.slots = slots }
 
-// Queued returns how many openings and requests wait until the upstream has
-// capacity.
+// Queued returns how many requests wait until the upstream has capacity.
 func (tbl *Table) Queued() int { return tbl.admission.queue.Len() }
 
 // requestLimit returns how many requests the upstream is given at once: one for each
@@ -52,8 +59,11 @@
 	return tbl.admission.slots > 0 && tbl.committed() >= tbl.admission.requestLimit()
 }
 
-// committed returns how many requests the upstream has or is about to get.
-func (tbl *Table) committed() int { return tbl.meter.running + len(tbl.admission.reserved) }
+// committed returns how many requests the upstream works on or is about to get. An
+// upstream that never answers some of its requests still works on the others.
+func (tbl *Table) committed() int {
+	return tbl.meter.running - tbl.meter.overdue + len(tbl.admission.reserved)
+}
 
 // pace returns how fast the upstream serves.
 func (adm *admission) pace() queue.Pace {
@@ -68,87 +78,101 @@
 	adm.answerTime += time.Duration(averageGain * float64(took-adm.answerTime))
 }
 
-// reserve reserves capacity for the request that follows an opening.
-func (adm *admission) reserve(key flow.Key, now time.Time) {
-	adm.reserved[key] = now.Add(min(max(reserveFactor*adm.requestDelay, minReserveTime), maxReserveTime))
+// expectRequest notes that the first request of a flow is due after its opening.
+// Capacity is reserved for it, if there is any.
+func (tbl *Table) expectRequest(key flow.Key, now time.Time) {
+	adm := &tbl.admission
+	due := now.Add(min(max(reserveFactor*adm.requestDelay, minReserveTime), maxReserveTime))
+	if tbl.mustWait() {
+		adm.announced[key] = due
+	} else {
+		adm.reserved[key] = due
+	}
 }
 
-// release frees the capacity that was reserved for a flow's request, which came
-// after delay.
-func (adm *admission) release(key flow.Key, delay time.Duration) {
-	if _, known := adm.reserved[key]; known {
-		delete(adm.reserved, key)
+// noteFirstRequest records that the first request of a flow has come some time after
+// its opening.
+func (adm *admission) noteFirstRequest(key flow.Key, delay time.Duration) {
+	_, reserved := adm.reserved[key]
+	_, announced := adm.announced[key]
+	if reserved || announced {
 		adm.requestDelay += time.Duration(averageGain * float64(delay-adm.requestDelay))
 	}
+	delete(adm.reserved, key)
+	delete(adm.announced, key)
 }
 
-// enqueue queues an opening until the upstream has capacity. It refuses the opening
-// if its client would give up before its turn, and in any case if other agents may
-// still have capacity for it.
-func (tbl *Table) enqueue(key flow.Key, rec *record, hdr encap.Header, itm queue.Item, now time.Time) {
-	if !hdr.QueueIfFull() || tbl.admission.queue.WouldExpire(itm, tbl.admission.pace(), now) {
-		tbl.remove(key, now)
-		tbl.notify(rec.balancer, encap.New(encap.Refused, tbl.service, key).WithReason(encap.Full), nil, now)
-		return
+// mustWait reports whether a request that comes now has to wait.
+func (tbl *Table) mustWait() bool { return tbl.full() || tbl.admission.queue.Len() > 0 }
+
+// refusesOpening reports whether an opening is refused for lack of capacity: other
+// agents may still have some, or the client would give up before the turn of its
+// request.
+func (tbl *Table) refusesOpening(key flow.Key, hdr encap.Header, sentAt, now time.Time) bool {
+	if !tbl.mustWait() {
+		return false
 	}
-	rec.phase = queued
-	tbl.admission.queue.Add(itm)
-	tbl.notify(rec.balancer, encap.New(encap.Queued, tbl.service, key), nil, now)
+	req := queue.New(key, true, hdr.Urgency(), sentAt)
+	return !hdr.QueueIfFull() || tbl.admission.queue.WouldExpire(req, tbl.admission.pace(), now)
 }
 
-// holdRequest queues a packet of a request on an open flow while the upstream has
-// no capacity for it, and reports whether it did. Capacity was reserved for the
-// first request after an opening.
+// holdRequest queues a packet of a request while the upstream has no capacity for
+// it, and reports whether it did.
 func (tbl *Table) holdRequest(key flow.Key, rec *record, pkt flow.Packet, raw []byte, now time.Time) bool {
+	adm := &tbl.admission
 	if rec.held {
 		if pkt.DataBytes() > 0 || pkt.Has(flow.Fin) {
-			tbl.admission.queue.AddPacket(key, queue.NewPacket(pkt, bytes.Clone(raw)))
+			adm.queue.AddPacket(key, queue.NewPacket(pkt, bytes.Clone(raw)))
 			return true
 		}
 		return false
 	}
-	_, reserved := tbl.admission.reserved[key]
+	_, reserved := adm.reserved[key]
 	begins := rec.phase == open && !rec.requestPending && rec.newData(pkt)
-	if reserved || !begins || !tbl.full() && tbl.admission.queue.Len() == 0 {
+	if reserved || !begins || !tbl.mustWait() {
 		return false
 	}
+	adm.noteFirstRequest(key, now.Sub(rec.deliveredAt))
+	sentAt, first := now, !rec.dataSeen && !rec.sentAt.IsZero()
+	if first {
+		sentAt = rec.sentAt
+	}
 	rec.held = true
 	rec.expiresAt = now.Add(tbl.idleTimeout)
-	tbl.admission.queue.Add(queue.NewRequest(key, queue.NewPacket(pkt, bytes.Clone(raw)), rec.priority, rec.objective, now))
+	req := queue.New(key, first, rec.urgency, sentAt)
+	adm.queue.Add(req, queue.NewPacket(pkt, bytes.Clone(raw)))
+	tbl.actions = append(tbl.actions, Action{kind: NoteQueued, key: key, deadline: req.ObjectiveDeadline()})
 	return true
 }
 
-// admitQueued delivers what is queued while the upstream has capacity. Late items
+// admitQueued delivers what is queued while the upstream has capacity. Late requests
 // only get free slots: requests that wait in the upstream delay those that can be in
-// time. It refuses openings when the upstream takes no new flows.
+// time.
 func (tbl *Table) admitQueued(now time.Time) {
-	if rsn := tbl.unavailableReason(); rsn != encap.NoReason {
-		tbl.refuseOpenings(rsn, now)
+	adm := &tbl.admission
+	if adm.answerTime > 0 {
+		tbl.meter.markOverdue(now.Add(-overdueFactor * adm.answerTime))
 	}
-	for !tbl.down && tbl.admission.queue.Len() > 0 && !tbl.full() {
-		pce := tbl.admission.pace()
-		if tbl.admission.slots > 0 && tbl.committed() >= tbl.admission.slots && tbl.admission.queue.AllLate(pce, now) {
+	for !tbl.down && adm.queue.Len() > 0 && !tbl.full() {
+		pce := adm.pace()
+		if adm.slots > 0 && tbl.committed() >= adm.slots && adm.queue.AllLate(pce, now) {
 			return
 		}
-		tbl.deliverItem(tbl.admission.queue.TakeNext(pce, now), now)
+		tbl.deliverRequest(adm.queue.TakeNext(pce, now), now)
 	}
 }
 
-// deliverItem delivers an item that was taken from the queue.
-func (tbl *Table) deliverItem(itm queue.Item, now time.Time) {
-	rec := tbl.records[itm.Key()]
+// deliverRequest delivers a request that was taken from the queue.
+func (tbl *Table) deliverRequest(req queue.Request, now time.Time) {
+	rec := tbl.records[req.Key()]
 	if rec == nil {
 		return
 	}
-	if itm.Opening() {
-		pkt := itm.Packets()[0]
-		tbl.deliverOpening(itm.Key(), rec, pkt.Packet(), pkt.Raw(), now)
-		return
-	}
 	rec.held = false
-	for _, pkt := range itm.Packets() {
+	tbl.actions = append(tbl.actions, Action{kind: NoteAdmitted, key: req.Key(), deadline: req.ObjectiveDeadline()})
+	for _, pkt := range req.Packets() {
 		tbl.noteClientPacket(rec, pkt.Packet(), now)
-		tbl.deliver(itm.Key(), pkt.Packet(), pkt.Raw(), now)
+		tbl.deliver(req.Key(), pkt.Packet(), pkt.Raw(), now)
 	}
 }
 
@@ -158,53 +182,37 @@
 	rec.deadline = now.Add(openTimeout)
 	tbl.unanswered[key] = rec
 	rec.deliveredAt = now
-	tbl.admission.reserve(key, now)
+	tbl.expectRequest(key, now)
 	tbl.deliver(key, pkt, raw, now)
 }
 
-// expireQueued refuses queued openings whose clients have given up, delivers
-// requests that have waited as long, and drops reservations that were not used in
-// time. A request on an open flow cannot be refused without ending its flow.
+// expireQueued takes requests that have waited until their timeout from the queue.
+// Those whose clients have closed the flow are dropped. Others are delivered, since a
+// request on an open flow cannot be refused without ending its flow. It also drops
+// openings whose requests did not come in time.
 func (tbl *Table) expireQueued(now time.Time) {
-	for key, until := range tbl.admission.reserved {
-		if !now.Before(until) {
-			delete(tbl.admission.reserved, key)
+	adm := &tbl.admission
+	for _, expected := range []map[flow.Key]time.Time{adm.reserved, adm.announced} {
+		for key, until := range expected {
+			if !now.Before(until) {
+				delete(expected, key)
+			}
 		}
 	}
-	for itm, found := tbl.admission.queue.TakeExpired(now); found; itm, found = tbl.admission.queue.TakeExpired(now) {
-		if itm.Opening() {
-			tbl.refuseQueued(itm, encap.Full, now)
+	for req, found := adm.queue.TakeExpired(now); found; req, found = adm.queue.TakeExpired(now) {
+		if req.Closed() {
+			tbl.remove(req.Key(), now)
 		} else {
-			tbl.deliverItem(itm, now)
+			tbl.deliverRequest(req, now)
 		}
 	}
 }
 
-// StopAccepting stops the taking of new flows when the agent ends. Queued openings
-// are refused, so that other agents can take them before their clients give up.
-// Queued requests are delivered.
+// StopAccepting stops the taking of new flows when the agent ends, and delivers all
+// that is queued.
 func (tbl *Table) StopAccepting(now time.Time) {
 	tbl.leaving = true
-	tbl.refuseOpenings(encap.Leaving, now)
-	for itm, found := tbl.admission.queue.TakeFirst(false); found; itm, found = tbl.admission.queue.TakeFirst(false) {
-		tbl.deliverItem(itm, now)
-	}
-}
-
-// refuseOpenings refuses every queued opening, because the upstream takes no new
-// flows any more.
-func (tbl *Table) refuseOpenings(rsn encap.Reason, now time.Time) {
-	for itm, found := tbl.admission.queue.TakeFirst(true); found; itm, found = tbl.admission.queue.TakeFirst(true) {
-		tbl.refuseQueued(itm, rsn, now)
-	}
-}
-
-// refuseQueued refuses an opening that was taken from the queue.
-func (tbl *Table) refuseQueued(itm queue.Item, rsn encap.Reason, now time.Time) {
-	rec := tbl.records[itm.Key()]
-	if rec == nil {
-		return
+	for tbl.admission.queue.Len() > 0 {
+		tbl.deliverRequest(tbl.admission.queue.TakeNext(tbl.admission.pace(), now), now)
 	}
-	tbl.remove(itm.Key(), now)
-	tbl.notify(rec.balancer, encap.New(encap.Refused, tbl.service, itm.Key()).WithReason(rsn), nil, now)
 }
--- a/core/flows/balancer.go
+++ b/core/flows/balancer.go
@@ -1,12 +1,10 @@
 package flows
 
 import (
-	"bytes"
 	"time"
 
 	"lagoondrum/core/encap"
 	"lagoondrum/core/flow"
-	"lagoondrum/core/queue"
 )
 
 // HandleBalancerPacket handles a packet that a balancer sent.
@@ -61,23 +59,19 @@
 	rec := tbl.records[key]
 	if rec == nil || rec.clientISN != pkt.Seq() || rec.phase == closed || rec.phase == trying {
 		tbl.remove(key, now)
-		rec = &record{clientISN: pkt.Seq(), balancer: from, expiresAt: now.Add(tbl.idleTimeout), priority: hdr.Priority(), objective: hdr.Objective()}
-		tbl.records[key] = rec
-		delete(tbl.denied, key)
-		if tbl.full() || tbl.admission.queue.Len() > 0 {
-			itm := queue.NewOpening(key, queue.NewPacket(pkt, bytes.Clone(raw)), hdr.Priority(), hdr.Objective(), now)
-			tbl.enqueue(key, rec, hdr, itm, now)
+		sentAt := now.Add(-sendOffsets[min(int(pkt.Ack()), len(sendOffsets)-1)]) // The ack of an opening packet counts the copies sent before.
+		if tbl.refusesOpening(key, hdr, sentAt, now) {
+			tbl.notify(from, encap.New(encap.Refused, tbl.service, key).WithReason(encap.Full), nil, now)
 			return
 		}
+		rec = &record{clientISN: pkt.Seq(), balancer: from, sentAt: sentAt, expiresAt: now.Add(tbl.idleTimeout), urgency: hdr.Urgency()}
+		tbl.records[key] = rec
+		delete(tbl.denied, key)
 		tbl.deliverOpening(key, rec, pkt, raw, now)
 		return
 	}
 	rec.balancer = from
 	rec.expiresAt = now.Add(tbl.idleTimeout)
-	if rec.phase == queued {
-		tbl.notify(from, encap.New(encap.Queued, tbl.service, key), nil, now)
-		return
-	}
 	tbl.deliver(key, pkt, raw, now)
 	if rec.accepted {
 		tbl.notifyOpened(key, rec, now)
@@ -150,7 +144,7 @@
 // them the client chose.
 func (rec *record) matchesAck(ack uint32) bool {
 	switch rec.phase {
-	case queued, opening:
+	case opening:
 		return false
 	case halfOpen:
 		return flow.AckInRange(ack, rec.upstreamISN, rec.upstreamEnd)
@@ -195,7 +189,7 @@
 		rec.dataSeen, rec.clientEnd = true, pkt.EndSeq()
 		if rec.phase != closed {
 			tbl.meter.begin(rec, now)
-			tbl.admission.release(pkt.KeyFromClient(), now.Sub(rec.deliveredAt))
+			tbl.admission.noteFirstRequest(pkt.KeyFromClient(), now.Sub(rec.deliveredAt))
 		}
 	}
 	if pkt.Has(flow.Fin) {
--- a/core/flows/meter.go
+++ b/core/flows/meter.go
@@ -18,10 +18,18 @@
 // meter counts the requests that wait for an answer from the upstream.
 type meter struct {
 	running   int // Requests that wait for an answer.
+	overdue   int // Those of them that have waited for much longer than others.
+	begun     []pendingRequest
 	average   float64
 	updatedAt time.Time
 }
 
+// pendingRequest is a request that has begun and may have ended since.
+type pendingRequest struct {
+	record  *record
+	begunAt time.Time
+}
+
 // begin counts the request of a flow, unless one is running already.
 func (mtr *meter) begin(rec *record, now time.Time) {
 	if !rec.requestPending {
@@ -29,6 +37,7 @@
 		rec.requestedAt = now
 		mtr.advance(now)
 		mtr.running++
+		mtr.begun = append(mtr.begun, pendingRequest{record: rec, begunAt: now})
 	}
 }
 
@@ -38,6 +47,26 @@
 		rec.requestPending = false
 		mtr.advance(now)
 		mtr.running--
+		if rec.requestOverdue {
+			rec.requestOverdue = false
+			mtr.overdue--
+		}
+	}
+}
+
+// markOverdue marks the running requests that began at or before a time.
+func (mtr *meter) markOverdue(begunUntil time.Time) {
+	for len(mtr.begun) > 0 {
+		req := mtr.begun[0]
+		pending := req.record.requestPending && req.record.requestedAt.Equal(req.begunAt)
+		if pending && req.begunAt.After(begunUntil) {
+			return
+		}
+		mtr.begun = mtr.begun[1:]
+		if pending {
+			req.record.requestOverdue = true
+			mtr.overdue++
+		}
 	}
 }
 
@@ -51,9 +80,9 @@
 }
 
 // load returns the larger of the moving average and the requests that run now,
-// plus what is queued. So a burst counts at once, and its end with a delay.
-func (mtr *meter) load(now time.Time, queued, flows int) encap.Load {
+// plus those that wait. So a burst counts at once, and its end with a delay.
+func (mtr *meter) load(now time.Time, waiting, flows int) encap.Load {
 	mtr.advance(now)
-	requests := max(mtr.average, float64(mtr.running)) + float64(queued)
+	requests := max(mtr.average, float64(mtr.running)) + float64(waiting)
 	return encap.NewLoad(int(requests*loadUnitsPerRequest), flows)
 }
--- a/core/flows/table.go
+++ b/core/flows/table.go
@@ -33,8 +33,7 @@
 type phase uint8
 
 const (
-	queued   phase = iota + 1 // The opening packet waits at the agent until the upstream has capacity.
-	opening                   // The opening packet was delivered.
+	opening  phase = iota + 1 // The opening packet was delivered.
 	halfOpen                  // The upstream answered the opening packet; the client has not acknowledged that yet.
 	trying                    // A packet of an unknown flow was delivered, to see whether the upstream holds the flow.
 	open                      // The flow is established.
@@ -47,6 +46,7 @@
 	accepted       bool // The upstream answered the opening packet.
 	silentReported bool // The balancer was told that the upstream did not answer in time.
 	requestPending bool // A request waits for its answer; the meter counts it.
+	requestOverdue bool // It has waited for much longer than others.
 	dataSeen       bool // The client has sent data, and clientEnd is set.
 	held           bool // Packets of a request wait at the agent until the upstream has capacity.
 	trialOfData    bool // The packet on trial came as Data, so the balancer keeps no copy.
@@ -58,8 +58,8 @@
 	clientEnd      uint32        // The sequence number after the client's data.
 	clientAck      uint32        // The client's last acknowledgement.
 	balancer       flow.Endpoint // The balancer that last sent a packet of the flow or asked for the flow; zero when none did.
-	priority       uint8         // Of the route, as the opening said; 0 is the highest.
-	objective      time.Duration // Latency objective of the route; 0 for none.
+	urgency        flow.Urgency  // Of the route, as the opening said.
+	sentAt         time.Time     // When the client began to open the flow; zero when the opening was not seen.
 	deliveredAt    time.Time     // When the opening packet was delivered.
 	requestedAt    time.Time     // When the pending request began.
 	deadline       time.Time     // For the upstream's answer, in the phases opening and trying.
@@ -100,7 +100,7 @@
 		denied:      make(map[flow.Key]time.Time),
 		served:      make(map[flow.Endpoint]bool),
 		unanswered:  make(map[flow.Key]*record),
-		admission:   admission{reserved: make(map[flow.Key]time.Time), requestDelay: maxReserveTime / reserveFactor},
+		admission:   admission{reserved: make(map[flow.Key]time.Time), announced: make(map[flow.Key]time.Time), requestDelay: maxReserveTime / reserveFactor},
 	}
 }
 
@@ -146,7 +146,8 @@
 
 // Load returns the load of the upstream for load reports.
 func (tbl *Table) Load(now time.Time) encap.Load {
-	return tbl.meter.load(now, tbl.admission.queue.Len(), len(tbl.records))
+	waiting := tbl.admission.queue.Len() + len(tbl.admission.announced)
+	return tbl.meter.load(now, waiting, len(tbl.records))
 }
 
 // TakeActions returns the actions since the last call. They are valid until the
@@ -175,10 +176,11 @@
 func (tbl *Table) remove(key flow.Key, now time.Time) {
 	if rec := tbl.records[key]; rec != nil {
 		tbl.meter.end(rec, now)
-		if rec.phase == queued || rec.held {
+		if rec.held {
 			tbl.admission.queue.Remove(key)
 		}
 		delete(tbl.admission.reserved, key)
+		delete(tbl.admission.announced, key)
 		delete(tbl.records, key)
 		delete(tbl.unanswered, key)
 	}
--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -23,8 +23,7 @@
 	name        string
 	shares      []Share
 	totalWeight int
-	priority    uint8
-	objective   time.Duration
+	urgency     flow.Urgency
 }
 
 // NewRoute returns a route over the shares that have a weight above 0 and a
@@ -40,18 +39,15 @@
 	return rte
 }
 
-// WithPriority sets the priority of the route's requests, 0 being the highest, and
-// the latency objective of their answers, and returns the route.
-func (rte *Route) WithPriority(priority uint8, objective time.Duration) *Route {
-	rte.priority, rte.objective = priority, objective
+// WithUrgency sets how soon the route's requests need their answers, and returns the
+// route.
+func (rte *Route) WithUrgency(urg flow.Urgency) *Route {
+	rte.urgency = urg
 	return rte
 }
 
-// Priority returns the priority of the route's requests, 0 being the highest.
-func (rte *Route) Priority() uint8 { return rte.priority }
-
-// Objective returns the latency objective of answers, 0 when there is none.
-func (rte *Route) Objective() time.Duration { return rte.objective }
+// Urgency returns how soon the route's requests need their answers.
+func (rte *Route) Urgency() flow.Urgency { return rte.urgency }
 
 // Name returns the route's name.
 func (rte *Route) Name() string { return rte.name }
--- a/core/queue/item.go
+++ b/core/queue/item.go
@@ -1,18 +1,18 @@
 package queue
 
 import (
+	"slices"
 	"time"
 
 	"lagoondrum/core/flow"
 )
 
-// maxWait is how long an item may wait. The client of an opening gives up after
-// 1.4 s; the difference is the time for the answer to reach it.
-const maxWait = 1300 * time.Millisecond
+// defaultTimeout bounds the wait of a request whose route has no timeout.
+const defaultTimeout = 2 * time.Second
 
-// sendOffsets are the times since the start of an attempt at which a client sends
-// the opening packet and its retransmissions.
-var sendOffsets = [...]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
+// closeDelay is how long after its timeout a request is kept, so that the packet by
+// which a client that gives up closes its flow arrives before.
+const closeDelay = 100 * time.Millisecond
 
 // maxPackets is how many packets of one request are kept: clients have no more in
 // flight.
@@ -33,49 +33,79 @@
 // Raw returns the packet's bytes.
 func (pkt Packet) Raw() []byte { return pkt.raw }
 
-// Item is what waits for capacity: the opening of a flow, or a request on an open
-// flow.
-type Item struct {
+// Request is a request that waits for capacity.
+type Request struct {
 	key               flow.Key
-	opening           bool
+	first             bool // The first request of its flow.
 	packets           []Packet
 	priority          uint8
 	objectiveDeadline time.Time // An answer after this time misses the latency objective.
-	expiresAt         time.Time // When the item has waited for maxWait.
+	givenUpAt         time.Time // When the client no longer waits for the answer.
 }
 
-// NewOpening returns an opening that arrived at now. Its route has a priority, 0
-// the highest, and a latency objective, 0 when there is none.
-func NewOpening(key flow.Key, pkt Packet, priority uint8, objective time.Duration, now time.Time) Item {
-	sentAt := now.Add(-sendOffsets[min(int(pkt.packet.Ack()), len(sendOffsets)-1)]) // The ack of an opening packet counts the copies sent before.
-	itm := newItem(key, pkt, priority, objective, sentAt)
-	itm.opening = true
-	return itm
+// New returns a request whose client has waited for its answer since sentAt. For the
+// first request of a flow that is when it began to open the flow.
+func New(key flow.Key, first bool, urg flow.Urgency, sentAt time.Time) Request {
+	req := Request{key: key, first: first, priority: urg.Priority(), givenUpAt: sentAt.Add(defaultTimeout)}
+	if urg.Timeout() > 0 {
+		req.givenUpAt = sentAt.Add(urg.Timeout())
+	}
+	req.objectiveDeadline = req.givenUpAt
+	if urg.Objective() > 0 {
+		req.objectiveDeadline = sentAt.Add(urg.Objective())
+	}
+	return req
 }
 
-// NewRequest returns a request on an open flow, whose first packet arrived at now.
-func NewRequest(key flow.Key, pkt Packet, priority uint8, objective time.Duration, now time.Time) Item {
-	return newItem(key, pkt, priority, objective, now)
+// Key returns the flow.
+func (req Request) Key() flow.Key { return req.key }
+
+// ObjectiveDeadline returns the time after which an answer misses the latency
+// objective.
+func (req Request) ObjectiveDeadline() time.Time { return req.objectiveDeadline }
+
+// Packets returns the packets in the order of their arrival.
+func (req Request) Packets() []Packet { return req.packets }
+
+// Closed reports whether the client has closed its side of the flow.
+func (req Request) Closed() bool {
+	return slices.ContainsFunc(req.packets, func(pkt Packet) bool { return pkt.packet.Has(flow.Fin) })
 }
 
-func newItem(key flow.Key, pkt Packet, priority uint8, objective time.Duration, sentAt time.Time) Item {
-	itm := Item{key: key, packets: []Packet{pkt}, priority: priority, expiresAt: sentAt.Add(maxWait)}
-	if objective > 0 {
-		itm.objectiveDeadline = sentAt.Add(objective)
-	} else {
-		itm.objectiveDeadline = itm.expiresAt
+// add appends a packet, unless it is a retransmission of one that waits already. A
+// retransmission that also closes the flow replaces what it repeats.
+func (req *Request) add(pkt Packet) {
+	for i, old := range req.packets {
+		if old.packet.Seq() == pkt.packet.Seq() {
+			if pkt.packet.Has(flow.Fin) && pkt.packet.DataBytes() >= old.packet.DataBytes() {
+				req.packets[i] = pkt
+			}
+			return
+		}
+	}
+	if len(req.packets) < maxPackets {
+		req.packets = append(req.packets, pkt)
 	}
-	return itm
 }
 
-// Key returns the flow.
-func (itm Item) Key() flow.Key { return itm.key }
-
-// Opening reports whether the item is the opening of a flow.
-func (itm Item) Opening() bool { return itm.opening }
+// rank is how much a client gains from the answer to its request.
+type rank uint8
 
-// Packets returns the packets in the order of their arrival. An opening has one.
-func (itm Item) Packets() []Packet { return itm.packets }
+// The ranks, the highest first.
+const (
+	inTime rank = iota
+	late
+	abandoned // The client has closed its side, so it has probably given up.
+)
 
-// late reports whether the objective is missed by an answer at the given time.
-func (itm Item) late(answerAt time.Time) bool { return answerAt.After(itm.objectiveDeadline) }
+// rankAt returns the rank of a request that is answered at the given time.
+func (req Request) rankAt(answerAt time.Time) rank {
+	switch {
+	case req.Closed():
+		return abandoned
+	case answerAt.After(req.objectiveDeadline):
+		return late
+	default:
+		return inTime
+	}
+}
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -1,8 +1,8 @@
-// Package queue queues what an upstream has no capacity for, openings of flows and
-// requests on open flows, and decides which one is served next. It handles the load
-// after a power loss and in a burst, when more clients come at once than an
-// upstream serves within their latency objective: in order of arrival each of them
-// would be late, and so would all clients that come while the backlog lasts.
+// Package queue queues the requests that an upstream has no capacity for, and decides
+// which one is served next. It handles the load after a power loss and in a burst,
+// when more clients come at once than an upstream serves within their latency
+// objective: in order of arrival each of them would be late, and so would all
+// clients that come while the backlog lasts.
 package queue
 
 import (
@@ -11,100 +11,86 @@
 	"lagoondrum/core/flow"
 )
 
-// Queue holds the items that wait for one upstream, in order of arrival.
+// Queue holds the requests that wait for one upstream, in order of arrival.
 type Queue struct {
-	waiting []Item
-	turns   int // Items that were taken with TakeNext.
+	waiting []Request
+	turns   int // Requests that were taken with TakeNext.
 }
 
-// Len returns how many items are queued.
+// Len returns how many requests are queued.
 func (que *Queue) Len() int { return len(que.waiting) }
 
-// Add appends an item.
-func (que *Queue) Add(itm Item) { que.waiting = append(que.waiting, itm) }
+// Add appends a request with its first packet.
+func (que *Queue) Add(req Request, pkt Packet) {
+	req.add(pkt)
+	que.waiting = append(que.waiting, req)
+}
 
 // AddPacket appends a packet to the queued request of a flow, unless it is a
 // retransmission of one that waits already.
 func (que *Queue) AddPacket(key flow.Key, pkt Packet) {
 	for i := range que.waiting {
-		itm := &que.waiting[i]
-		if itm.key != key || len(itm.packets) >= maxPackets {
-			continue
-		}
-		for _, old := range itm.packets {
-			if old.packet.Seq() == pkt.packet.Seq() {
-				return
-			}
+		if que.waiting[i].key == key {
+			que.waiting[i].add(pkt)
 		}
-		itm.packets = append(itm.packets, pkt)
 	}
 }
 
-// TakeNext removes and returns the item to serve next at an upstream's pace. The
+// TakeNext removes and returns the request to serve next at an upstream's pace. The
 // queue must not be empty.
-func (que *Queue) TakeNext(pce Pace, now time.Time) Item {
+func (que *Queue) TakeNext(pce Pace, now time.Time) Request {
 	at := que.next(pce, now)
 	que.turns++
 	return que.removeAt(at)
 }
 
-// AllLate reports whether no item can meet its objective any more.
+// AllLate reports whether no request can meet its objective any more.
 func (que *Queue) AllLate(pce Pace, now time.Time) bool {
-	for _, itm := range que.waiting {
-		if !itm.late(now.Add(pce.answerTime)) {
+	for _, req := range que.waiting {
+		if req.rankAt(now.Add(pce.answerTime)) == inTime {
 			return false
 		}
 	}
 	return true
 }
 
-// TakeExpired removes and returns an item that has waited for maxWait, if there is
-// one.
-func (que *Queue) TakeExpired(now time.Time) (Item, bool) {
-	for i, itm := range que.waiting {
-		if !now.Before(itm.expiresAt) {
-			return que.removeAt(i), true
-		}
-	}
-	return Item{}, false
-}
-
-// TakeFirst removes and returns the opening, or the request on an open flow, that
-// arrived first, if there is one.
-func (que *Queue) TakeFirst(opening bool) (Item, bool) {
-	for i, itm := range que.waiting {
-		if itm.opening == opening {
+// TakeExpired removes and returns a request that has waited until its timeout, if
+// there is one.
+func (que *Queue) TakeExpired(now time.Time) (Request, bool) {
+	for i, req := range que.waiting {
+		if !now.Before(req.givenUpAt.Add(closeDelay)) {
 			return que.removeAt(i), true
 		}
 	}
-	return Item{}, false
+	return Request{}, false
 }
 
-// Remove removes the item of a flow.
+// Remove removes the request of a flow.
 func (que *Queue) Remove(key flow.Key) {
-	for i, itm := range que.waiting {
-		if itm.key == key {
+	for i, req := range que.waiting {
+		if req.key == key {
 			que.removeAt(i)
 			return
 		}
 	}
 }
 
-func (que *Queue) removeAt(i int) Item {
-	itm := que.waiting[i]
+func (que *Queue) removeAt(i int) Request {
+	req := que.waiting[i]
 	que.waiting = append(que.waiting[:i], que.waiting[i+1:]...)
-	return itm
+	return req
 }
 
-// WouldExpire reports whether an item that is not queued yet would wait for maxWait
-// before its turn at an upstream's pace. Only the items that go before it delay it.
-func (que *Queue) WouldExpire(itm Item, pce Pace, now time.Time) bool {
+// WouldExpire reports whether the client of a request that is not queued yet would
+// give up before its turn at an upstream's pace. Only the requests that go before it
+// delay it.
+func (que *Queue) WouldExpire(req Request, pce Pace, now time.Time) bool {
 	answerAt := now.Add(pce.answerTime)
 	turn := now.Add(pce.interval)
 	for _, other := range que.waiting {
-		if !que.precedes(itm, other, answerAt) {
+		if !que.precedes(req, other, answerAt) {
 			turn = turn.Add(pce.interval)
 		}
 	}
-	return turn.After(itm.expiresAt)
+	return turn.After(req.givenUpAt)
 }
--- a/core/simul/overload.go
+++ b/core/simul/overload.go
@@ -247,7 +247,7 @@
 		for service, weight := range cls.Shares {
 			shares = append(shares, intent.NewShare(serviceName(service), weight))
 		}
-		routes[classAddress(idx)] = intent.NewRoute("", shares).WithPriority(cls.Priority, cls.Objective)
+		routes[classAddress(idx)] = intent.NewRoute("", shares).WithUrgency(flow.NewUrgency(cls.Priority, cls.Objective, cls.Budget))
 	}
 	blc.tracker.Adopt(intent.NewState(1, routes, loadIdleTimeout), run.Now())
 	blc.table = track.New("z", loadLinkBytes, blc.tracker, blc.fleet)
--- a/core/simul/overload_caller.go
+++ b/core/simul/overload_caller.go
@@ -49,7 +49,8 @@
 	startedAt  time.Time
 	answeredAt time.Time // Zero without an answer.
 	attempts   int
-	onLostFlow bool // The first attempt was made on a flow that the outage ended.
+	flow       *callerFlow // Of the current attempt.
+	onLostFlow bool        // The first attempt was made on a flow that the outage ended.
 	ended      bool
 }
 
@@ -79,11 +80,22 @@
 		req := &loadRequest{class: cls, classIndex: idx, caller: run.callers[run.arrivals.IntN(len(run.callers))], work: run.drawWork(cls.Work), startedAt: run.Now()}
 		run.requests = append(run.requests, req)
 		run.startAttempt(req)
-		run.Schedule(cls.Budget, func() { req.ended = true })
+		run.Schedule(cls.Budget, func() { run.giveUp(req) })
 		run.scheduleArrival(idx)
 	})
 }
 
+// giveUp ends a request without an answer. Its caller closes the flow.
+func (run *loadRun) giveUp(req *loadRequest) {
+	if req.ended {
+		return
+	}
+	req.ended = true
+	if flw := req.flow; flw != nil && flw.open && !flw.ended {
+		run.sendFromCaller(flow.NewPacket(flw.key.Client(), flw.key.Service(), flow.Ack|flow.Fin, flw.nextSeq, flw.ack, 0))
+	}
+}
+
 // startAttempt sends a request on an idle flow, or opens one.
 func (run *loadRun) startAttempt(req *loadRequest) {
 	if req.ended {
@@ -95,7 +107,7 @@
 		flw := (*idle)[len(*idle)-1]
 		*idle = (*idle)[:len(*idle)-1]
 		att := &loadAttempt{request: req, flow: flw}
-		run.attempts[flw.key] = att
+		run.attempts[flw.key], req.flow = att, flw
 		req.onLostFlow = flw.openedAt.Before(run.start) && run.scenario.Outage > 0 && !req.startedAt.Before(run.start)
 		run.sendRequest(att)
 		return
@@ -104,7 +116,7 @@
 	client := flow.NewEndpoint([4]byte{100, 64, 0, byte(req.caller.num + 1)}, 1024+run.lastPort[req.caller.num])
 	flw := &callerFlow{key: flow.NewKey(client, classAddress(req.classIndex)), nextSeq: 101}
 	att := &loadAttempt{request: req, flow: flw}
-	run.attempts[flw.key] = att
+	run.attempts[flw.key], req.flow = att, flw
 	for copies, wait := range openingCopies {
 		run.Schedule(wait, func() { run.sendOpening(att, uint32(copies)) })
 	}
--- a/core/simul/overload_upstream.go
+++ b/core/simul/overload_upstream.go
@@ -105,6 +105,7 @@
 		run.sendToBalancer(int(act.Balancer().IP()[3])-1, act.Header(), append([]byte(nil), act.Packet()...), ups)
 	case flows.Reset:
 		run.Schedule(callerDelay, func() { run.handleReset(key) })
+	case flows.NoteQueued, flows.NoteAdmitted:
 	case flows.Probe:
 		if ups.flows != nil {
 			ups.table.HandleProbeResult(flows.Running{})
--- a/core/track/action.go
+++ b/core/track/action.go
@@ -37,7 +37,6 @@
 	RepeatedOpen       // The client sent its opening again; the next candidate is asked.
 	Asked              // An agent, the best candidate by load and zone, is asked to open the flow.
 	Answered           // The upstream answered the opening.
-	Queued             // An agent queues the opening until its upstream has a free slot.
 	Widened            // No agent of the route's known services reported the flow, but another service may hold it; all agents are queried.
 	Overflowed         // The service chosen by the route's shares is full; another service of the route is asked.
 	causeEnd
@@ -49,7 +48,7 @@
 var causeNames = [CauseCount]string{
 	"none", "noRoute", "noUpstream", "allRefused", "flowGone", "allDenied", "noHint", "hintWrong",
 	"found", "notFound", "refusal", "unanswered", "repeatedOpen",
-	"asked", "answered", "queued", "widened", "overflowed",
+	"asked", "answered", "widened", "overflowed",
 }
 
 // String returns the cause's name in logs and metrics.
--- a/core/track/opening.go
+++ b/core/track/opening.go
@@ -35,17 +35,13 @@
 
 // handleOpeningCopy handles an opening packet that the client sent again, as it
 // does while no answer has reached it. If no upstream has answered, the next
-// candidate is asked, unless an agent has queued the opening.
+// candidate is asked.
 func (tbl *Table) handleOpeningCopy(key flow.Key, ent *entry, raw []byte, now time.Time) {
 	if len(ent.holders) > 0 {
 		tbl.send(ent.holders[0].ip, encap.Open, ent.serviceID, key, raw)
 		return
 	}
 	tbl.pending[key] = ent
-	if ent.queued {
-		tbl.sendOpening(ent.attempts[len(ent.attempts)-1].ip, key, ent)
-		return
-	}
 	tbl.notice(key, RepeatedOpen, [4]byte{})
 	ent.attemptsOfCopy = 0
 	tbl.askNextAgent(key, ent, now)
@@ -74,7 +70,7 @@
 }
 
 func (tbl *Table) sendOpening(ip [4]byte, key flow.Key, ent *entry) {
-	hdr := encap.New(encap.Open, ent.serviceID, key).WithUrgency(ent.route.Priority(), ent.route.Objective())
+	hdr := encap.New(encap.Open, ent.serviceID, key).WithUrgency(ent.route.Urgency())
 	if ent.queueIfFull {
 		hdr = hdr.WithQueueIfFull()
 	}
@@ -127,7 +123,6 @@
 		return
 	}
 	last := ent.attempts[len(ent.attempts)-1].ip
-	ent.queued = false
 	if agt := tbl.fleet.Agent(last); agt != nil {
 		agt.NoteOpeningUnanswered(now)
 	}
@@ -167,7 +162,6 @@
 		return
 	}
 	tbl.notice(key, Refusal, from)
-	ent.queued = false
 	if hdr.Reason() == encap.Full && !ent.queueIfFull {
 		ent.queueIfFull = true
 		ent.attempts = ent.attempts[:len(ent.attempts)-1] // By its load report it may still be the best agent to queue at.
@@ -196,17 +190,3 @@
 	ent.service, ent.serviceID = agt.Upstream().Service(), agt.ServiceID()
 	tbl.notice(key, Overflowed, agt.IP())
 }
-
-// handleQueued handles an agent's report that it queued an opening until its
-// upstream has a free slot. Copies of the opening go to the same agent, and no
-// other agent is asked meanwhile.
-func (tbl *Table) handleQueued(key flow.Key, ent *entry, from [4]byte, now time.Time) {
-	if ent.phase != opening || len(ent.attempts) == 0 || ent.attempts[len(ent.attempts)-1].ip != from {
-		return
-	}
-	if !ent.queued {
-		tbl.notice(key, Queued, from)
-	}
-	ent.queued = true
-	ent.deadline = now.Add(queueTimeout)
-}
--- a/core/track/search.go
+++ b/core/track/search.go
@@ -36,8 +36,6 @@
 		tbl.handleOpened(key, ent, hdr, from, now)
 	case encap.Refused:
 		tbl.handleRefused(key, ent, hdr, from, now)
-	case encap.Queued:
-		tbl.handleQueued(key, ent, from, now)
 	case encap.Held:
 		tbl.handleHeld(key, ent, hdr, from)
 	case encap.Absent:
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -315,10 +315,25 @@
 		case flows.Probe:
 			agt.metrics.probes.Inc(1)
 			go agt.probe(agt.upstream)
+		case flows.NoteQueued:
+			agt.metrics.queued.Inc(1)
+			agt.logWaiting("request queued", act, now)
+		case flows.NoteAdmitted:
+			agt.metrics.admitted.Inc(1)
+			agt.logWaiting("request admitted", act, now)
 		}
 	}
 }
 
+// logWaiting logs that a request waits for capacity or has got it, with the inputs of
+// the decision.
+func (agt *agent) logWaiting(msg string, act flows.Action, now time.Time) {
+	if ent := agt.log.Check(zap.InfoLevel, msg); ent != nil {
+		ent.Write(zap.Stringer("flow", act.Key()), zap.Duration("objectiveLeft", act.ObjectiveDeadline().Sub(now)),
+			zap.Int("queued", agt.table.Queued()), zap.Float64("requests", agt.table.Load(now).Requests()))
+	}
+}
+
 // noteFlowMessage counts and logs a message about one flow to a balancer. Lists of
 // verdicts are left out.
 func (agt *agent) noteFlowMessage(act flows.Action) {
@@ -376,7 +391,7 @@
 	}
 	agt.gaugesDueAt = now.Add(gaugeInterval)
 	agt.gauges.set("flowsRecorded", float64(agt.table.Flows()))
-	agt.gauges.set("openingsQueued", float64(agt.table.Queued()))
+	agt.gauges.set("requestsQueued", float64(agt.table.Queued()))
 	agt.gauges.set("requestsUnderWay", agt.table.Load(now).Requests())
 	agt.gauges.setCommon(agt.base, now)
 }
--- a/io/carry/meter.go
+++ b/io/carry/meter.go
@@ -53,6 +53,8 @@
 	malformed tally.Counter
 	resets    tally.Counter
 	probes    tally.Counter
+	queued    tally.Counter // Requests that had to wait for capacity.
+	admitted  tally.Counter // Those of them that were delivered.
 }
 
 func newAgentMetrics(scope *stats.Scope) *agentMetrics {
@@ -61,6 +63,8 @@
 		malformed: scope.Counter("datagramsMalformed"),
 		resets:    scope.Counter("flowsReset"),
 		probes:    scope.Counter("upstreamProbes"),
+		queued:    scope.Counter("requestsHeld"),
+		admitted:  scope.Counter("requestsAdmitted"),
 	}
 }
 
