Reset no flow while an agent's answer tells a newer revision

Change: answers of agents carry the revision of their state. A balancer that hears a newer one fetches the changes at once and resets nothing until it has them. TestLaggingBalancerDoesNotResetFlows fails without it.

Ruled out: waiting for a confirmation after each packet; after a power loss that holds every reset back by 0.3 s or more, and clients that are reset at once can still be in time.

--- a/core/encap/header.go
+++ b/core/encap/header.go
@@ -109,7 +109,7 @@
 	seq         uint32 // Upstream's first sequence number; in a heartbeat the age of the sender's state in milliseconds.
 	load        Load
 	incarnation uint64       // Only in heartbeats.
-	revision    uint64       // Of the platform's state; only in heartbeats.
+	revision    uint64       // Of the platform's state at the sender; not in Open.
 	urgency     flow.Urgency // Of the route; only in Open.
 }
 
@@ -192,6 +192,10 @@
 // its upstream is full; the first request then waits.
 func (hdr Header) WithQueueIfFull() Header { hdr.flags |= flagQueueIfFull; return hdr }
 
+// WithRevision returns the header with the revision of the platform's state that the
+// sender holds. Open carries none.
+func (hdr Header) WithRevision(revision uint64) Header { hdr.revision = revision; return hdr }
+
 // WithReason returns the header with the reason of a refusal.
 func (hdr Header) WithReason(rsn Reason) Header { hdr.reason = rsn; return hdr }
 
@@ -257,7 +261,8 @@
 // after a restart.
 func (hdr Header) Incarnation() uint64 { return hdr.incarnation }
 
-// Revision returns the revision of the platform's state that the sender holds.
+// Revision returns the revision of the platform's state that the sender holds, 0 when
+// the datagram does not tell it.
 func (hdr Header) Revision() uint64 { return hdr.revision }
 
 // Leaving reports whether the sender takes no new flows.
--- a/core/encap/list.go
+++ b/core/encap/list.go
@@ -50,7 +50,7 @@
 	for ; len(list) >= verdictBytes; list = list[verdictBytes:] {
 		knd := Kind(list[flow.KeyBytes])
 		if knd == Held || knd == Absent || knd == Unsure {
-			visit(New(knd, hdr.service, flow.ParseKey(list)).WithSeq(binary.BigEndian.Uint32(list[flow.KeyBytes+1:])))
+			visit(New(knd, hdr.service, flow.ParseKey(list)).WithRevision(hdr.revision).WithSeq(binary.BigEndian.Uint32(list[flow.KeyBytes+1:])))
 		}
 	}
 }
--- a/core/track/candidates.go
+++ b/core/track/candidates.go
@@ -46,10 +46,11 @@
 
 // resetIfDenied resets a flow if every agent that could hold it denies holding it,
 // and reports whether it did. Dead agents need not answer, but while a live one
-// has not answered the flow is not reset.
+// has not answered, or an agent of a new upstream may not be known, the flow is not
+// reset.
 func (tbl *Table) resetIfDenied(key flow.Key, ent *entry, now time.Time) bool {
 	sch := &ent.search
-	if !sch.deniedByAll(tbl.routeAgents(key, ent), now) {
+	if tbl.lags() || !sch.deniedByAll(tbl.routeAgents(key, ent), now) {
 		return false
 	}
 	if !tbl.servicesKnown(ent, now) {
--- a/core/track/search.go
+++ b/core/track/search.go
@@ -17,6 +17,7 @@
 // verdicts. For a single flow raw is the packet that the agent did not deliver,
 // if any.
 func (tbl *Table) HandleAgentDatagram(hdr encap.Header, raw []byte, from [4]byte, now time.Time) {
+	tbl.newestHeard = max(tbl.newestHeard, hdr.Revision())
 	if hdr.Kind() == encap.Verdicts {
 		hdr.EachVerdict(raw, func(one encap.Header) { tbl.handleAnswer(one, nil, from, now) })
 		return
--- a/core/track/search_test.go
+++ b/core/track/search_test.go
@@ -159,3 +159,22 @@
 	fix.Tick(now.Add(time.Second))
 	assertResets(t, fix.TakeActions(), AllDenied)
 }
+
+// An upstream that was just added may hold a flow before this balancer knows it. The
+// answers of the other agents show that the balancer lags.
+func TestLaggingBalancerDoesNotResetFlows(t *testing.T) {
+	fix := newFixture(1)
+	fix.SetRevision(7)
+	fix.sendData(1, start)
+	denial := encap.New(encap.Absent, feedID, flowKey(1)).WithRevision(8)
+	assertResets(t, fix.receive(denial, vmIP(1), start))
+	fix.listUpstream(2, "feed", 1)
+	fix.SetRevision(8)
+	later := start.Add(searchInterval)
+	fix.Tick(later)
+	fix.SendQueries(later)
+	asked := sendActions(fix.TakeActions())
+	assert.Equal(t, asked[0].Agent(), vmIP(2))
+	found := sendActions(fix.receive(encap.New(encap.Held, feedID, flowKey(1)).WithSeq(5000).WithRevision(8), vmIP(2), later))
+	assert.Equal(t, found[0].Agent(), vmIP(2))
+}
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -86,6 +86,8 @@
 	pending      map[flow.Key]*entry // Flows being opened or searched for.
 	rotateAt     time.Time
 	startupUntil time.Time
+	revision     uint64 // Of the platform's state that the fleet reflects.
+	newestHeard  uint64 // The highest revision that an agent has told.
 	answers      answerEstimator
 	queries      queryQueue
 	actions      []Action
@@ -116,6 +118,13 @@
 // Hints returns the number of remembered flows.
 func (tbl *Table) Hints() int { return len(tbl.recent) + len(tbl.older) }
 
+// SetRevision sets the revision of the platform's state that the fleet reflects.
+func (tbl *Table) SetRevision(revision uint64) { tbl.revision = revision }
+
+// lags reports whether an agent has told a newer revision than that of the fleet, so
+// that an upstream may hold flows that this balancer does not know yet.
+func (tbl *Table) lags() bool { return tbl.newestHeard > tbl.revision }
+
 // NeedsTick reports whether flows are being opened or searched for, whose
 // deadlines need ticks.
 func (tbl *Table) NeedsTick() bool { return len(tbl.pending) > 0 }
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -199,6 +199,7 @@
 			blc.noteNamedBalancers(box.Data(i)[encap.HeaderBytes:], now)
 			continue
 		}
+		blc.replica.HeardRevision(from, hdr.Revision())
 		blc.table.HandleAgentDatagram(hdr, box.Data(i)[encap.HeaderBytes:], from.Addr().As4(), now)
 		blc.perform(now)
 	}
--- a/io/carry/state.go
+++ b/io/carry/state.go
@@ -68,6 +68,7 @@
 	for _, itm := range items {
 		blc.applyEntry(itm, now)
 	}
+	blc.table.SetRevision(nws.Revision())
 	if !blc.leaving && blc.tracker.State() != nil && !blc.ready.Load() {
 		blc.ready.Store(true)
 		blc.log.Info("ready", zap.Uint64("version", blc.tracker.State().Version()), zap.Int("upstreams", blc.fleet.Len()))
--- a/io/gossip/news.go
+++ b/io/gossip/news.go
@@ -9,10 +9,14 @@
 
 // News is one set of changes to a replica.
 type News struct {
-	items  []mirror.Item
-	origin Origin
+	items    []mirror.Item
+	origin   Origin
+	revision uint64
 }
 
+// Revision returns the platform's revision that the state reflects with the changes.
+func (nws News) Revision() uint64 { return nws.revision }
+
 // Items returns the changed items in the order of their revisions.
 func (nws News) Items() []mirror.Item { return nws.items }
 
--- a/io/gossip/replica.go
+++ b/io/gossip/replica.go
@@ -172,6 +172,22 @@
 		}
 		return
 	}
+	rep.startPull(from, revision)
+}
+
+// HeardRevision handles a datagram that tells the revision of a peer outside of its
+// heartbeats. If the revision is newer than the replica's, the changes are fetched.
+func (rep *Replica) HeardRevision(from netip.AddrPort, revision uint64) {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	if revision > rep.mirror.Revision() {
+		rep.startPull(from, revision)
+	}
+}
+
+// startPull fetches changes from a peer with a newer revision, unless changes are
+// being fetched already. The caller holds mu.
+func (rep *Replica) startPull(from netip.AddrPort, revision uint64) {
 	if revision > rep.sourceRevision || !rep.pulling {
 		rep.source, rep.sourceRevision = from, revision
 	}
@@ -299,10 +315,11 @@
 	} else {
 		applied, _ = rep.mirror.Update(upd.after, upd.revision, upd.items)
 	}
-	advanced := rep.mirror.Revision() != before
+	revision := rep.mirror.Revision()
+	advanced := revision != before
 	rep.mu.Unlock()
 	if _, fromPeer := org.(Told); fromPeer || advanced || len(applied) > 0 {
-		rep.apply(News{items: applied, origin: org}, now)
+		rep.apply(News{items: applied, origin: org, revision: revision}, now)
 	}
 }
 
