--- a/core/model/packets_sim_test.go
+++ b/core/model/packets_sim_test.go
@@ -1,7 +1,6 @@
 package model
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"fmt"
 	"time"
@@ -13,6 +12,7 @@
 	"lagoondrum/core/flow"
 	"lagoondrum/core/flows"
 	"lagoondrum/core/intent"
+	"lagoondrum/core/simul"
 	"lagoondrum/core/track"
 )
 
@@ -51,32 +51,6 @@
 	return flow.NewEndpoint([4]byte{10, 0, 0, byte(idx + 1)}, 7842)
 }
 
-// event is an action that runs at a point in virtual time. The serial number
-// orders events that are due at the same time.
-type event struct {
-	due    time.Time
-	serial int
-	action func()
-}
-
-// eventQueue is a heap with the event that is due first on top.
-type eventQueue []event
-
-func (que eventQueue) Len() int { return len(que) }
-func (que eventQueue) Less(i, j int) bool {
-	if que[i].due.Equal(que[j].due) {
-		return que[i].serial < que[j].serial
-	}
-	return que[i].due.Before(que[j].due)
-}
-func (que eventQueue) Swap(i, j int) { que[i], que[j] = que[j], que[i] }
-func (que *eventQueue) Push(x any)   { *que = append(*que, x.(event)) }
-func (que *eventQueue) Pop() any {
-	last := (*que)[len(*que)-1]
-	*que = (*que)[:len(*que)-1]
-	return last
-}
-
 // simVM is a VM with an upstream and its agent.
 type simVM struct {
 	service          int
@@ -138,8 +112,7 @@
 	t            *rapid.T
 	rules        packetRules
 	now          time.Time
-	queue        eventQueue
-	lastSerial   int
+	timeline     *simul.Timeline
 	vms          [simVMs]*simVM
 	balancers    [simBalancers]*simBalancer
 	flows        []*simFlow
@@ -158,7 +131,7 @@
 
 // newSimulation starts all VMs and balancers and lets 500 ms pass.
 func newSimulation(t *rapid.T, rules packetRules) *simulation {
-	sim := &simulation{t: t, rules: rules, now: epoch, byKey: make(map[flow.Key]*simFlow), lastPort: 20000, stateVersion: 1, reference: intent.NewTracker(time.Time{})}
+	sim := &simulation{t: t, rules: rules, now: epoch, timeline: simul.NewTimeline(epoch), byKey: make(map[flow.Key]*simFlow), lastPort: 20000, stateVersion: 1, reference: intent.NewTracker(time.Time{})}
 	for num := range sim.routes {
 		sim.routes[num] = num
 	}
@@ -182,8 +155,10 @@
 
 // schedule runs an action after a delay.
 func (sim *simulation) schedule(wait time.Duration, action func()) {
-	sim.lastSerial++
-	heap.Push(&sim.queue, event{due: sim.now.Add(wait), serial: sim.lastSerial, action: action})
+	sim.timeline.Schedule(wait, func() {
+		sim.now = sim.timeline.Now()
+		action()
+	})
 }
 
 // sendDatagram delivers a datagram after 0.2 to 3.2 ms. A lossy network loses 8
@@ -201,15 +176,10 @@
 	}
 }
 
-// advance runs the events of the next span of virtual time.
+// advance runs the actions of the next span of virtual time.
 func (sim *simulation) advance(span time.Duration) {
-	until := sim.now.Add(span)
-	for len(sim.queue) > 0 && !sim.queue[0].due.After(until) {
-		evt := heap.Pop(&sim.queue).(event)
-		sim.now = evt.due
-		evt.action()
-	}
-	sim.now = until
+	sim.timeline.Advance(span)
+	sim.now = sim.timeline.Now()
 }
 
 // tick drives the timers of all agents and balancers.
