Keep the flow of an abandoned request; take urgency from the route after a restart

Cause, found while reading: the record of a flow was removed with its abandoned request although the upstream holds the flow, so that a later packet of the client would be denied by all agents and reset. And flows from before an agent's restart had no urgency: their requests counted as of the highest priority and never as late.

Change: the record stays; the desired state's route gives the urgency. TestAbandonedRequestIsNotDelivered asks for the flow afterwards, TestUrgencyOfFlows- FromBeforeARestart is new.

--- a/core/flows/admission.go
+++ b/core/flows/admission.go
@@ -139,12 +139,24 @@
 	}
 	rec.held = true
 	rec.expiresAt = now.Add(tbl.idleTimeout)
-	req := queue.New(key, first, rec.urgency, sentAt)
+	req := queue.New(key, first, tbl.urgencyOf(key, rec), sentAt)
 	adm.queue.Add(req, queue.NewPacket(pkt, bytes.Clone(raw)))
 	tbl.actions = append(tbl.actions, Action{kind: NoteQueued, key: key, deadline: req.ObjectiveDeadline()})
 	return true
 }
 
+// urgencyOf returns the urgency of a flow's requests. A flow from before the agent's
+// start has that of its address's present route.
+func (tbl *Table) urgencyOf(key flow.Key, rec *record) flow.Urgency {
+	if rec.urgency != (flow.Urgency{}) || tbl.state == nil {
+		return rec.urgency
+	}
+	if rte := tbl.state.Route(key.Service()); rte != nil {
+		return rte.Urgency()
+	}
+	return rec.urgency
+}
+
 // admitQueued delivers what is queued while the upstream has capacity. Late requests
 // only get free slots: requests that wait in the upstream delay those that can be in
 // time.
@@ -187,9 +199,10 @@
 }
 
 // expireQueued takes requests that have waited until their timeout from the queue.
-// Those whose clients have closed the flow are dropped. Others are delivered, since a
-// request on an open flow cannot be refused without ending its flow. It also drops
-// openings whose requests did not come in time.
+// Those whose clients have closed the flow are dropped; the flow itself stays in the
+// table, as the upstream holds it. Others are delivered, since a request on an open
+// flow cannot be refused without ending its flow. It also drops openings whose
+// requests did not come in time.
 func (tbl *Table) expireQueued(now time.Time) {
 	adm := &tbl.admission
 	for _, expected := range []map[flow.Key]time.Time{adm.reserved, adm.announced} {
@@ -200,8 +213,8 @@
 		}
 	}
 	for req, found := adm.queue.TakeExpired(now); found; req, found = adm.queue.TakeExpired(now) {
-		if req.Closed() {
-			tbl.remove(req.Key(), now)
+		if rec := tbl.records[req.Key()]; req.Closed() && rec != nil {
+			rec.held = false
 		} else {
 			tbl.deliverRequest(req, now)
 		}
--- a/core/flows/admission_test.go
+++ b/core/flows/admission_test.go
@@ -8,6 +8,7 @@
 
 	"lagoondrum/core/encap"
 	"lagoondrum/core/flow"
+	"lagoondrum/core/intent"
 )
 
 func keyFor(port uint16) flow.Key {
@@ -133,6 +134,31 @@
 	tbl.Tick(start.Add(requestTimeout + time.Second))
 	assertActionCount(t, tbl.TakeActions(), ToUpstream, 0)
 	assert.Equal(t, tbl.Queued(), 0)
+	list := encap.AppendQuery(nil, keyFor(9), 5001)
+	tbl.HandleQuery(encap.New(encap.Seek, service, flow.Key{}), list, balancer, start) // The upstream still holds the flow.
+	acts := tbl.TakeActions()
+	acts[0].Header().EachVerdict(acts[0].Packet(), func(hdr encap.Header) { assert.Equal(t, hdr.Kind(), encap.Held) })
+}
+
+// Flows from before a restart of the agent have no opening; the route of their
+// address tells how urgent their requests are.
+func TestUrgencyOfFlowsFromBeforeARestart(t *testing.T) {
+	urgency := flow.NewUrgency(2, 250*time.Millisecond, requestTimeout)
+	for name, tc := range map[string]struct {
+		routed flow.Endpoint
+		want   flow.Urgency
+	}{
+		"with a route":    {address, urgency},
+		"without a route": {client, flow.Urgency{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tbl := newTable(false)
+			routes := map[flow.Endpoint]*intent.Route{tc.routed: intent.NewRoute("r", nil).WithUrgency(urgency)}
+			tbl.SetState(intent.NewState(1, routes, idleTimeout))
+			tbl.HandleUpstreamPacket(fromUpstream(flow.Ack, 5000, 100), nil, start)
+			assert.Equal(t, tbl.urgencyOf(key, tbl.records[key]), tc.want)
+		})
+	}
 }
 
 // A request stops counting when its client leaves before the answer or the
--- a/core/flows/table.go
+++ b/core/flows/table.go
@@ -11,6 +11,7 @@
 
 	"lagoondrum/core/encap"
 	"lagoondrum/core/flow"
+	"lagoondrum/core/intent"
 )
 
 // Timeouts and limits of the table.
@@ -82,6 +83,7 @@
 	answerDue   time.Time // When the upstream is probed unless it sends a packet before; zero when no answer is due.
 	nextProbeAt time.Time
 	nextSweepAt time.Time
+	state       *intent.State // The desired state in force; nil before the first one.
 	meter       meter
 	admission   admission
 	actions     []Action
@@ -111,8 +113,12 @@
 // this table.
 func (tbl *Table) Complete() bool { return tbl.complete }
 
-// SetIdleTimeout sets how long a flow without packets is kept.
-func (tbl *Table) SetIdleTimeout(idleTimeout time.Duration) { tbl.idleTimeout = idleTimeout }
+// SetState sets the desired state, which has the idle timeout of flows and the
+// urgency of the requests of flows from before the agent's start.
+func (tbl *Table) SetState(stt *intent.State) {
+	tbl.state = stt
+	tbl.idleTimeout = stt.IdleTimeout()
+}
 
 // authoritative reports whether the upstream certainly does not hold a flow that
 // is not in the table: flows from before the start have sent packets since, or
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -143,7 +143,7 @@
 	defer agt.mu.Unlock()
 	agt.adoptStates(agt.tracker, states, nws.Origin(), now)
 	if stt := agt.tracker.State(); stt != nil {
-		agt.table.SetIdleTimeout(stt.IdleTimeout())
+		agt.table.SetState(stt)
 	}
 	for _, itm := range items {
 		agt.applyEntry(itm, now)
