Play the loads of the overflow and of requests without an answer

Change: an upstream of the load model may leave a part of its requests without an answer. No product code changed.

--- a/core/simul/overload.go
+++ b/core/simul/overload.go
@@ -41,6 +41,7 @@
 	Cold       time.Duration // How long an upstream is slow after its start.
 	ColdFactor float64       // By how much a cold upstream is slower.
 	Surge      float64       // Factor on the rates during the first second; 0 for none.
+	Mute       float64       // Fraction of its requests that the first upstream never answers from the start on.
 	Unqueued   bool          // Agents do not know the slots of their upstreams, so that nothing waits at them.
 }
 
@@ -88,6 +89,7 @@
 	Total                  LoadCount
 	Windows                [loadWindows]LoadCount // By the time of the first attempt.
 	Classes                []LoadCount
+	Muted                  int // Measured requests that an upstream took and never answered.
 	RefusedBesideFreeSlots int // Openings that were refused while an upstream of their route had a free slot and nothing queued.
 }
 
@@ -144,6 +146,9 @@
 	res := LoadResult{Classes: make([]LoadCount, len(scn.Classes)), RefusedBesideFreeSlots: run.refusedBesideFreeSlots}
 	for _, req := range run.measured() {
 		res.Total.note(req)
+		if req.muted {
+			res.Muted++
+		}
 		res.Classes[req.classIndex].note(req)
 		res.Windows[min(int(req.startedAt.Sub(run.start)/loadWindow), loadWindows-1)].note(req)
 	}
--- a/core/simul/overload_caller.go
+++ b/core/simul/overload_caller.go
@@ -50,6 +50,7 @@
 	answeredAt time.Time // Zero without an answer.
 	attempts   int
 	flow       *callerFlow // Of the current attempt.
+	muted      bool        // An upstream took it and never answers.
 	onLostFlow bool        // The first attempt was made on a flow that the outage ended.
 	ended      bool
 }
--- a/core/simul/overload_test.go
+++ b/core/simul/overload_test.go
@@ -19,6 +19,7 @@
 		for i, cnt := range res.Classes {
 			sum.Classes[i].Add(cnt)
 		}
+		sum.Muted += res.Muted
 		sum.RefusedBesideFreeSlots += res.RefusedBesideFreeSlots
 	}
 	return sum
@@ -56,3 +57,25 @@
 		})
 	}
 }
+
+// An upstream that never answers a part of its requests still serves the others in
+// time: nobody waits behind requests that no longer run.
+func TestMutedRequestsDelayNoOthers(t *testing.T) {
+	scn := LoadScenarios()[0]
+	scn.Outage, scn.Slots, scn.Mute = 0, 4, 0.4
+	scn.Classes[0].Rate = 95
+	res := playSeeds(scn)
+	t.Logf("%+v, muted: %d", res.Total, res.Muted)
+	assert.Assert(t, res.Muted > 0)
+	assert.Equal(t, res.Total.Failed, res.Muted)
+	assert.Assert(t, res.Total.Late*100 <= res.Total.Asked)
+}
+
+// A route over two services, one of them too small for its share, answers every
+// request that may be repeated: none fails while the other service has capacity.
+func TestOverflowLeavesNoRequestUnanswered(t *testing.T) {
+	all := LoadScenarios()
+	res := playSeeds(all[len(all)-1])
+	t.Logf("%+v", res.Classes)
+	assert.Equal(t, res.Classes[0].Failed, 0)
+}
--- a/core/simul/overload_upstream.go
+++ b/core/simul/overload_upstream.go
@@ -144,6 +144,10 @@
 		return // A retransmission.
 	}
 	att.accepted = true
+	if ups.num == 0 && !run.Now().Before(run.start) && run.rnd.Float64() < run.scenario.Mute {
+		att.request.muted = true
+		return
+	}
 	req := &upstreamRequest{key: key, end: pkt.EndSeq(), work: att.request.work}
 	switch {
 	case ups.running < run.scenario.Slots:
