review: case 5: a front takes an older history of routes for complete

Cause: the history of an agent with an older revision is merged as if it reached up to the front's own state.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -85,18 +85,29 @@
 	return strings.Join(seeds, ",")
 }
 
-// openFlows opens flows that each get one answer.
+// openFlows opens flows that each get one answer, some at a time.
 func (w *world) openFlows(cli *client, count int) []*clientFlow {
-	var flows []*clientFlow
-	for i := range count {
-		flw, out := cli.open(board)
-		if out == answered {
-			out, _ = flw.request(fmt.Sprintf("first-%d", i+1), budget)
-		}
-		if out != answered {
-			w.must(fmt.Errorf("flow %d could not be opened: %s", i+1, out))
-		}
-		flows = append(flows, flw)
+	const atOnce = 6
+	flows := make([]*clientFlow, count)
+	errs := make(chan error, count)
+	for worker := range atOnce {
+		go func() {
+			for i := worker; i < count; i += atOnce {
+				flw, out := cli.open(board)
+				if out == answered {
+					out, _ = flw.request(fmt.Sprintf("first-%d", i+1), budget)
+				}
+				flows[i] = flw
+				if out != answered {
+					errs <- fmt.Errorf("flow %d could not be opened: %s", i+1, out)
+					continue
+				}
+				errs <- nil
+			}
+		}()
+	}
+	for range count {
+		w.must(<-errs)
 	}
 	return flows
 }
@@ -155,7 +166,7 @@
 	w.deploy(4, 7, 3)
 	w.awaitReady(15 * time.Second)
 	sleepUntil(w.start.Add(6 * time.Second))
-	flows := w.openFlows(w.startClient(w.ip(90)), 40)
+	flows := w.openFlows(w.startClient(w.ip(90)), 100)
 	quietSince := time.Now()
 	if w.trouble {
 		for _, mch := range w.fronts {
@@ -181,7 +192,7 @@
 		w.signal(w.sides[9], syscall.SIGSTOP)
 		time.AfterFunc(3500*time.Millisecond, func() { w.signal(w.sides[9], syscall.SIGCONT) })
 	}
-	w.finish(w.secondRequests(flows, 60*time.Millisecond))
+	w.finish(w.secondRequests(flows, 30*time.Millisecond))
 }
 
 // playForeign: another writer leaves an entry with a service that is not named and the
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -61,7 +61,7 @@
 	strays   map[flowKey]int
 }
 
-// fail ends a case that could not run.
+// must ends a case that could not run.
 func (w *world) must(err error) {
 	if err != nil {
 		w.record("the case could not run: %v", err)
