--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -55,7 +55,12 @@
 }
 
 func (w *world) startBackend(id, service string, ip [4]byte, zone string) *backend {
-	bck := &backend{w: w, id: id, service: service, ip: ip, zone: zone, workMs: 30, born: time.Now().UnixMilli(), flows: map[flowKey]*backendFlow{}}
+	return w.startBackendBorn(id, service, ip, zone, time.Now())
+}
+
+// startBackendBorn starts a backend whose clock shows the time born.
+func (w *world) startBackendBorn(id, service string, ip [4]byte, zone string, born time.Time) *backend {
+	bck := &backend{w: w, id: id, service: service, ip: ip, zone: zone, workMs: 30, born: born.UnixMilli(), flows: map[flowKey]*backendFlow{}}
 	app := netip.AddrPortFrom(netip.AddrFrom4(ip), w.port.app)
 	con, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(app))
 	w.must(err)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -40,7 +40,7 @@
 		fmt.Fprintln(os.Stderr, "usage: drive CASE FOLDER")
 		os.Exit(2)
 	}
-	cases := map[string]func(string){"idle": playIdle, "history": playHistory, "foreign": playForeign, "seeds": playSeeds, "lists": playLists}
+	cases := map[string]func(string){"idle": playIdle, "history": playHistory, "foreign": playForeign, "seeds": playSeeds, "lists": playLists, "clock": playClock}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case")
@@ -238,11 +238,9 @@
 		}
 	}
 	sleepUntil(killed.Add(100 * time.Millisecond))
-	leaving := backends[0]
-	leaving.drain()
-	acked := time.Now()
+	left := []leave{backends[0].leave()}
 	restarted := !w.trouble
-	w.finish(w.openAfter(cli, leaving, acked, 8*time.Second, other.name, func() {
+	w.finish(w.openAfter(cli, &left, killed.Add(8*time.Second), other.name, func() {
 		if !restarted && time.Since(killed) >= 3500*time.Millisecond {
 			restarted = true
 			for _, mch := range seeds {
@@ -254,7 +252,7 @@
 }
 
 // playLists: the fronts that were the seeds are stopped and started in turn, with seed
-// addresses that name the other fronts; later a backend leaves.
+// addresses that name the other fronts; later three backends leave, one after the other.
 func playLists(dir string) {
 	w := newWorld(dir, [2]byte{61, 80})
 	w.publish(1, 15000, services, board.route("r-board", feed), scans.route("r-scans", upload))
@@ -274,24 +272,41 @@
 	w.awaitReady(10 * time.Second)
 	time.Sleep(2 * contact)
 	w.record("store: reads of the machines, by age: %v", w.store.readers(time.Now()))
-	backends[0].drain()
-	acked := time.Now()
-	w.finish(w.openAfter(w.startClient(w.ip(90)), backends[0], acked, 9*time.Second, "", func() {}))
+	begun := time.Now()
+	left := []leave{backends[0].leave()}
+	w.finish(w.openAfter(w.startClient(w.ip(90)), &left, begun.Add(13*time.Second), "", func() {
+		if len(left) < 3 && time.Since(begun) >= time.Duration(2*len(left))*time.Second {
+			left = append(left, backends[len(left)].leave())
+		}
+	}))
+}
+
+// leave is the ack of a backend's report that it leaves.
+type leave struct {
+	backend string
+	acked   time.Time
 }
 
-// openAfter opens flows for a while after the ack of a backend's leaving, and returns
-// the openings that were sent after the bound, through a front or through any, and
-// reached that backend.
-func (w *world) openAfter(cli *client, leaving *backend, acked time.Time, span time.Duration, front string, step func()) (broken []string) {
-	for time.Since(acked) < span {
+func (bck *backend) leave() leave {
+	bck.drain()
+	return leave{bck.id, time.Now()}
+}
+
+// openAfter opens flows until the deadline, and returns the openings that were sent
+// later than the bound after the ack of a backend's leaving, through a front or through
+// any, and reached that backend.
+func (w *world) openAfter(cli *client, left *[]leave, deadline time.Time, front string, step func()) (broken []string) {
+	for time.Now().Before(deadline) {
 		step()
 		sent := time.Now()
 		flw, out := cli.open(board)
 		if out == answered {
 			flw.close()
 		}
-		if opn, ran := w.openingAt(leaving.id, flw.key); ran && (front == "" || flw.via == front) && sent.Sub(acked) > drainBound {
-			broken = append(broken, fmt.Sprintf("DRAIN: an opening of %s through %s reached backend %s %d ms after the ack of its leaving", flw.key.client, flw.via, leaving.id, opn.at.Sub(acked).Milliseconds()))
+		for _, lve := range *left {
+			if opn, ran := w.openingAt(lve.backend, flw.key); ran && (front == "" || flw.via == front) && sent.Sub(lve.acked) > drainBound {
+				broken = append(broken, fmt.Sprintf("DRAIN: an opening of %s through %s reached backend %s %d ms after the ack of its leaving", flw.key.client, flw.via, lve.backend, opn.at.Sub(lve.acked).Milliseconds()))
+			}
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -309,3 +324,34 @@
 	}
 	return opening{}, false
 }
+
+// playClock: a backend starts while the time of day of its machine is ahead; after the
+// clock has been set back, the machine's agent is stopped and started again.
+func playClock(dir string) {
+	const ahead = 2400 * time.Millisecond
+	w := newWorld(dir, [2]byte{61, 100})
+	w.publish(1, 15000, services, board.route("r-board", feed), scans.route("r-scans", upload))
+	w.deploy(2, 2, 1)
+	w.awaitReady(15 * time.Second)
+	sleepUntil(w.start.Add(8 * time.Second))
+	added := w.addSide("side-9", zones[0], feed, w.ip(50))
+	w.run(added, false)
+	time.Sleep(300 * time.Millisecond)
+	born := time.Now()
+	if w.trouble {
+		born = born.Add(ahead)
+	}
+	w.record("the time of day of %s is %v ahead as its backend starts", added.name, time.Until(born).Round(100*time.Millisecond))
+	bck := w.startBackendBorn("i-added", feed, added.ip, added.zone, born)
+	time.Sleep(400 * time.Millisecond)
+	flows := w.openFlows(w.startClient(w.ip(90)), 18)
+	time.Sleep(100 * time.Millisecond)
+	w.record("the time of day of %s is right again", added.name)
+	w.signal(added, syscall.SIGTERM)
+	w.awaitExit(added, 6*time.Second)
+	time.Sleep(300 * time.Millisecond)
+	w.run(added, false)
+	time.Sleep(contact + time.Second)
+	_ = bck
+	w.finish(w.secondRequests(flows, 0))
+}
