review: case 5: two fronts try one flow at three wrong upstreams

Cause: the limit on tries holds for one search at one front, and an agent's denial does not tell that it was tried.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,7 +6,7 @@
   echo "build target/ as deploy/system.toml says, and run review/build.sh" >&2
   exit 2
 fi
-timeout -k 5 110 review/bin/drive history review/5
+timeout -k 5 110 review/bin/drive tries review/5
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -152,10 +152,11 @@
 		return
 	}
 	if flw == nil || !flw.open && pkt.ack != flw.isn+1 {
-		bck.w.noteStray(bck, key)
+		bck.w.noteArrival(bck, key, false)
 		bck.bounce(raw)
 		return
 	}
+	bck.w.noteArrival(bck, key, true)
 	if flw.ended {
 		switch {
 		case pkt.has(flagFIN):
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,12 +22,10 @@
 	budget      = 2500 * time.Millisecond
 )
 
-const (
-	feed   = "plaque-feed"
-	upload = "photo-upload"
-)
-
+// Names of the site povltavi-lavky; a case of another site sets its own.
 var (
+	feed     = "plaque-feed"
+	upload   = "photo-upload"
 	zones    = []string{"karlin", "smichov", "podoli"}
 	services = []string{feed, upload}
 	board    = endpoint{[4]byte{198, 18, 0, 1}, 8443}
@@ -40,7 +38,7 @@
 		fmt.Fprintln(os.Stderr, "usage: drive CASE FOLDER")
 		os.Exit(2)
 	}
-	cases := map[string]func(string){"idle": playIdle, "history": playHistory, "foreign": playForeign, "seeds": playSeeds, "lists": playLists, "clock": playClock}
+	cases := map[string]func(string){"idle": playIdle, "history": playHistory, "foreign": playForeign, "seeds": playSeeds, "lists": playLists, "clock": playClock, "tries": playTries}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case")
@@ -204,7 +202,7 @@
 	w.awaitReady(15 * time.Second)
 	sleepUntil(w.start.Add(6 * time.Second))
 	cli := w.startClient(w.ip(90))
-	flows := w.openFlows(cli, 12)
+	flows := w.openFlows(cli, 40)
 	if w.trouble {
 		entry := map[string]any{"service": "not-in-use", "address": netip.AddrPortFrom(netip.AddrFrom4(backends[0].ip), w.port.app).String(), "zone": "karlin",
 			"version": "v1", "slots": 4, "state": "ready", "cold-remaining-ms": 0, "sequence": 1, "born": time.Now().UnixMilli()}
@@ -355,3 +353,48 @@
 	_ = bck
 	w.finish(w.secondRequests(flows, 0))
 }
+
+// playTries: a route moves to another service, all processes are killed and start again,
+// and a front is rolled while the clients of open flows send on.
+func playTries(dir string) {
+	feed, upload = "order-desk", "sheet-server"
+	zones, services = []string{"paarl", "ceres", "grabouw", "wellington"}, []string{feed, upload}
+	w := newWorld(dir, [2]byte{61, 120})
+	w.publish(1, 15000, services, board.route("r-board", feed), scans.route("r-scans", upload))
+	w.deploy(4, 7, 4)
+	w.awaitReady(15 * time.Second)
+	sleepUntil(w.start.Add(6 * time.Second))
+	flows := w.openFlows(w.startClient(w.ip(90)), 40)
+	w.publish(2, 15000, services, board.route("r-board", upload), scans.route("r-scans", upload))
+	time.Sleep(time.Second)
+	if w.trouble {
+		all := append(w.fronts, w.sides...)
+		for _, mch := range all {
+			w.signal(mch, syscall.SIGKILL)
+		}
+		for _, mch := range all {
+			w.awaitExit(mch, time.Second)
+		}
+		time.Sleep(time.Second)
+		for _, mch := range all {
+			w.run(mch, false)
+		}
+	}
+	time.Sleep(contact + time.Second)
+	w.awaitReady(5 * time.Second)
+	go w.secondRequests(flows, 0)
+	time.Sleep(100 * time.Millisecond)
+	if w.trouble {
+		w.signal(w.fronts[0], syscall.SIGTERM)
+		w.awaitExit(w.fronts[0], 6*time.Second)
+		w.run(w.fronts[0], false)
+	}
+	time.Sleep(2 * time.Second)
+	var broken []string
+	for _, flw := range flows {
+		if count := w.misled(flw.key, 2*time.Second); count >= 3 {
+			broken = append(broken, fmt.Sprintf("FLOW: %d packets of %s, open at backend %s, reached other backends and none its own within 2 s", count, flw.key.client, w.holder(flw.key)))
+		}
+	}
+	w.finish(broken)
+}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -58,7 +58,14 @@
 	openings []opening
 	opens    map[flowKey][]string // Backends at which the flow opened.
 	runs     map[string][]string  // Backends that ran a request, by its ID.
-	strays   map[flowKey]int
+	arrivals map[flowKey][]arrival
+}
+
+// arrival is a packet of a flow, other than an opening, that reached a backend.
+type arrival struct {
+	backend string
+	at      time.Time
+	holds   bool // The backend holds the flow.
 }
 
 // must ends a case that could not run.
@@ -89,7 +96,7 @@
 		os.Exit(2)
 	}
 	w := &world{root: root, dir: dir, subnet: subnet, rec: rec, start: time.Now(), trouble: os.Getenv("TROUBLE") != "0",
-		store: newStore(), opens: map[flowKey][]string{}, runs: map[string][]string{}, strays: map[flowKey]int{}}
+		store: newStore(), opens: map[flowKey][]string{}, runs: map[string][]string{}, arrivals: map[flowKey][]arrival{}}
 	w.choosePorts()
 	return w
 }
@@ -150,11 +157,37 @@
 	w.record("backend %s: runs request %s of %s", bck.id, id, key.client)
 }
 
-func (w *world) noteStray(bck *backend, key flowKey) {
+func (w *world) noteArrival(bck *backend, key flowKey, holds bool) {
 	w.mu.Lock()
-	w.strays[key]++
+	w.arrivals[key] = append(w.arrivals[key], arrival{bck.id, time.Now(), holds})
 	w.mu.Unlock()
-	w.record("backend %s: returns a packet of %s, which it does not hold", bck.id, key.client)
+	if !holds {
+		w.record("backend %s: returns a packet of %s, which it does not hold", bck.id, key.client)
+	}
+}
+
+// misled returns how many packets of a flow reached other backends within span, while
+// none reached its own; the largest number of any such time.
+func (w *world) misled(key flowKey, span time.Duration) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	most := 0
+	all := w.arrivals[key]
+	for i, first := range all {
+		count := 0
+		for _, arr := range all[i:] {
+			if arr.at.Sub(first.at) >= span {
+				break
+			}
+			if arr.holds {
+				count = 0
+				break
+			}
+			count++
+		}
+		most = max(most, count)
+	}
+	return most
 }
 
 // holder returns the backend at which a flow opened.
@@ -193,7 +226,7 @@
 // settings are those of deploy/process.ini for this machine.
 func (w *world) settings(mch *machine, first bool) string {
 	ip := netip.AddrFrom4(mch.ip)
-	set := fmt.Sprintf("[process]\nname = %s\nzone = %s\nregion = praha\nfabric = packets\nfirstStart = %v\n\n[peer]\naddress = %s:%d\nseeds = %s\n\n"+
+	set := fmt.Sprintf("[process]\nname = %s\nzone = %s\nregion = region-1\nfabric = packets\nfirstStart = %v\n\n[peer]\naddress = %s:%d\nseeds = %s\n\n"+
 		"[platform]\naddress = %s\n\n[packets]\nlisten = %s:%d\nready = %s:%d\nmetrics = %s:%d\nlinkMbps = 1000.0\ngraceSeconds = 6\n",
 		mch.name, mch.zone, first, ip, w.port.peer, w.seeds, w.storeAddr(mch), ip, w.port.datagram, ip, w.port.ready, ip, w.port.metrics)
 	if mch.role == "agent" {
