Apply a raised idle timeout to flows that are idle already

Cause: the agent's record of a flow kept only the deadline that the timeout of its last packet gave. The agent dropped the flow by it, denied it, and the balancer reset it on that denial (flow hintWrong, flow absent, reset allDenied). The deadline less the present timeout also stood for the time of the last packet, so that running requests stopped counting as load when the timeout was raised, and stalled ones went on counting when it was lowered.

Change: a record keeps the time of its last packet as well; a longer timeout moves the deadlines of idle flows. A shorter one still applies from the next packet on.

--- a/core/flows/admission.go
+++ b/core/flows/admission.go
@@ -138,7 +138,7 @@
 		sentAt = rec.sentAt
 	}
 	rec.held = true
-	rec.expiresAt = now.Add(tbl.idleTimeout)
+	tbl.noteActivity(rec, now)
 	req := queue.New(key, first, tbl.urgencyOf(key, rec), sentAt)
 	adm.queue.Add(req, queue.NewPacket(pkt, bytes.Clone(raw)))
 	tbl.actions = append(tbl.actions, Action{kind: NoteQueued, key: key, deadline: req.ObjectiveDeadline()})
--- a/core/flows/balancer.go
+++ b/core/flows/balancer.go
@@ -64,14 +64,15 @@
 			tbl.notify(from, encap.New(encap.Refused, tbl.service, key).WithReason(encap.Full), nil, now)
 			return
 		}
-		rec = &record{clientISN: pkt.Seq(), balancer: from, sentAt: sentAt, expiresAt: now.Add(tbl.idleTimeout), urgency: hdr.Urgency()}
+		rec = &record{clientISN: pkt.Seq(), balancer: from, sentAt: sentAt, urgency: hdr.Urgency()}
+		tbl.noteActivity(rec, now)
 		tbl.records[key] = rec
 		delete(tbl.denied, key)
 		tbl.deliverOpening(key, rec, pkt, raw, now)
 		return
 	}
 	rec.balancer = from
-	rec.expiresAt = now.Add(tbl.idleTimeout)
+	tbl.noteActivity(rec, now)
 	tbl.deliver(key, pkt, raw, now)
 	if rec.accepted {
 		tbl.notifyOpened(key, rec, now)
@@ -163,7 +164,7 @@
 		tbl.notifyAbsent(key, hdr, raw, from, now)
 		return
 	}
-	rec := &record{phase: trying, balancer: from, trialOfData: hdr.Kind() == encap.Data, deadline: now.Add(trialTimeout), expiresAt: now.Add(tbl.idleTimeout)}
+	rec := &record{phase: trying, balancer: from, trialOfData: hdr.Kind() == encap.Data, deadline: now.Add(trialTimeout)}
 	tbl.records[key] = rec
 	tbl.unanswered[key] = rec
 	tbl.noteClientPacket(rec, pkt, now)
@@ -181,7 +182,7 @@
 
 // noteClientPacket updates the record of a flow from a packet of its client.
 func (tbl *Table) noteClientPacket(rec *record, pkt flow.Packet, now time.Time) {
-	rec.expiresAt = now.Add(tbl.idleTimeout)
+	tbl.noteActivity(rec, now)
 	if pkt.Has(flow.Ack) {
 		rec.clientAck = pkt.Ack()
 	}
--- a/core/flows/table.go
+++ b/core/flows/table.go
@@ -64,6 +64,7 @@
 	deliveredAt    time.Time     // When the opening packet was delivered.
 	requestedAt    time.Time     // When the pending request began.
 	deadline       time.Time     // For the upstream's answer, in the phases opening and trying.
+	activeAt       time.Time     // When the last packet of the flow came.
 	expiresAt      time.Time     // When the record is removed.
 }
 
@@ -113,11 +114,35 @@
 // this table.
 func (tbl *Table) Complete() bool { return tbl.complete }
 
-// SetState sets the desired state, which has the idle timeout of flows and the
-// urgency of the requests of flows from before the agent's start.
+// SetState sets the desired state, which has the urgency of the requests of flows
+// from before the agent's start, and the idle timeout. A longer timeout applies to
+// the flows that are idle already, too.
 func (tbl *Table) SetState(stt *intent.State) {
 	tbl.state = stt
+	if stt.IdleTimeout() == tbl.idleTimeout {
+		return
+	}
 	tbl.idleTimeout = stt.IdleTimeout()
+	for _, rec := range tbl.records {
+		if rec.phase != closed {
+			rec.extend(tbl.idleTimeout)
+		}
+	}
+}
+
+// noteActivity records that a packet of a flow came.
+func (tbl *Table) noteActivity(rec *record, now time.Time) {
+	rec.activeAt = now
+	rec.expiresAt = now.Add(tbl.idleTimeout)
+}
+
+// extend keeps an idle flow at least until it has been idle for the timeout. A
+// shorter timeout applies from the flow's next packet on, which its client may have
+// sent before the timeout changed.
+func (rec *record) extend(idleTimeout time.Duration) {
+	if until := rec.activeAt.Add(idleTimeout); until.After(rec.expiresAt) {
+		rec.expiresAt = until
+	}
 }
 
 // authoritative reports whether the upstream certainly does not hold a flow that
--- a/core/flows/tick.go
+++ b/core/flows/tick.go
@@ -136,7 +136,7 @@
 	for key, rec := range tbl.records {
 		if !now.Before(rec.expiresAt) {
 			tbl.remove(key, now)
-		} else if now.Sub(rec.expiresAt.Add(-tbl.idleTimeout)) >= stallTimeout {
+		} else if now.Sub(rec.activeAt) >= stallTimeout {
 			tbl.meter.end(rec, now)
 		}
 	}
--- a/core/flows/upstream.go
+++ b/core/flows/upstream.go
@@ -32,7 +32,7 @@
 		}
 		tbl.records[key] = rec
 	}
-	rec.expiresAt = now.Add(tbl.idleTimeout)
+	tbl.noteActivity(rec, now)
 	tbl.actions = append(tbl.actions, Action{kind: ToClient, key: key, packet: raw})
 	switch {
 	case pkt.Has(flow.Syn):
--- a/io/carry/state.go
+++ b/io/carry/state.go
@@ -46,7 +46,7 @@
 	}
 	for _, stt := range states {
 		taken := trk.Adopt(stt, now)
-		bas.log.Info("desired state", zap.Uint64("version", stt.Version()), zap.Int("routes", stt.RouteCount()), zap.Bool("inForce", taken), zap.Bool("historyComplete", trk.Complete(now)))
+		bas.log.Info("desired state", zap.Uint64("version", stt.Version()), zap.Int("routes", stt.RouteCount()), zap.Duration("idleTimeout", stt.IdleTimeout()), zap.Bool("inForce", taken), zap.Bool("historyComplete", trk.Complete(now)))
 	}
 }
 
