Read the platform before a change may have to be in force

Cause: a process that is no seed started to read 3 to 5.8 s after the last confirmation, by a slot of its address. The start alone was as late as the bound, which no setting told it. Its log has no line "reading the platform" at all.

Change: the platform's bounds are settings (platform.applyMillis, drainMillis). From the smaller one follow when a state ceases to be fresh (0.6), when the last balancer reads at the latest (0.8), and that a balancer at that point reads whoever else claims to. A seed's state is adopted at a start while it is fresh.

TestBackupReadersTakeOver asserted by the old constant that a backup reader does not resume 2.4 s after the confirmation; it now asserts it until the state ceases to be fresh.

--- a/core/mirror/policy.go
+++ b/core/mirror/policy.go
@@ -10,12 +10,18 @@
 const (
 	ReaderCount         = 2                       // Balancers that read at the same time, so that one of them may fail.
 	peerTimeout         = 1200 * time.Millisecond // A balancer without a heartbeat for this long does not count as a reader.
-	StaleAfter          = 3 * time.Second         // Age of the last confirmation from which on backup readers take over; it covers a call that waits for changes, the spread of its answer, and some slack.
-	takeoverStagger     = 200 * time.Millisecond  // Delay between the slots of backup readers, which their hash assigns.
-	takeoverSlots       = 15
-	backupRetryInterval = 4 * time.Second        // Between the attempts of a backup reader while the platform answers nobody.
-	bootstrapDelay      = time.Second            // Time for the seeds to read the state when the whole system starts for the first time.
-	bootstrapStagger    = 100 * time.Millisecond // Delay between the slots of the other processes, for their first requests to the seeds.
+	backupRetryInterval = 4 * time.Second         // Between the attempts of a backup reader while the platform answers nobody.
+	bootstrapDelay      = time.Second             // Time for the seeds to read the state when the whole system starts for the first time.
+	bootstrapStagger    = 100 * time.Millisecond  // Delay between the slots of the other processes, for their first requests to the seeds.
+	agentStagger        = 200 * time.Millisecond  // Delay between the slots of agents that become backup readers.
+	staggerSlots        = 15
+)
+
+// Parts of the age that the state may reach at most. They leave the first backup
+// reader time to spread what it has read, and the last one time for a slow answer.
+const (
+	freshShare    = 0.6 // A confirmed state is fresh for so long, which covers a call that waits for changes and the heartbeats after it.
+	takeoverShare = 0.8 // By then every balancer that no reader keeps up to date reads.
 )
 
 // peer is what the last heartbeat of another balancer said.
@@ -36,14 +42,16 @@
 	platformReachable bool             // The platform answered this process's last call.
 	backup            bool
 	peers             map[[4]byte]peer
+	maxAge            time.Duration // Of the state: a change at the platform takes effect within this time.
 	confirmedAt       time.Time
 	retryAt           time.Time // A backup reader does not call the platform before this time.
 }
 
 // NewReaderPolicy returns the policy of a process on the VM with the IP address
-// self. Seeds are the IP addresses of the balancers that read the platform.
-func NewReaderPolicy(self [4]byte, balancer bool, seeds [][4]byte) *ReaderPolicy {
-	pol := &ReaderPolicy{self: self, balancer: balancer, platformReachable: true, peers: make(map[[4]byte]peer)}
+// self. Seeds are the IP addresses of the balancers that read the platform. A change
+// at the platform has to take effect within maxAge.
+func NewReaderPolicy(self [4]byte, balancer bool, seeds [][4]byte, maxAge time.Duration) *ReaderPolicy {
+	pol := &ReaderPolicy{self: self, balancer: balancer, platformReachable: true, maxAge: maxAge, peers: make(map[[4]byte]peer)}
 	pol.SetSeeds(seeds)
 	return pol
 }
@@ -111,11 +119,13 @@
 		return false
 	case pol.confirmedAt.IsZero():
 		return true
-	case now.After(pol.takeoverAt()):
+	case !pol.balancer:
+		return !now.Before(pol.agentTakeoverAt())
+	case !now.Before(pol.overdueAt()):
+		pol.backup = true
+		return true
+	case !now.Before(pol.takeoverAt()):
 		pol.backup = true
-	}
-	if !pol.balancer {
-		return now.After(pol.takeoverAt())
 	}
 	if !pol.isSeed(pol.self) && !pol.backup {
 		return false
@@ -157,20 +167,40 @@
 	return rankOf(ip) > rankOf(pol.self)
 }
 
-// takeoverAt returns when the process becomes a backup reader: agents after all
-// balancers.
+// Fresh reports whether a state that was confirmed at the given time needs no new
+// confirmation yet.
+func (pol *ReaderPolicy) Fresh(confirmedAt, now time.Time) bool {
+	return now.Before(confirmedAt.Add(pol.share(freshShare)))
+}
+
+// takeoverAt returns when a balancer becomes a backup reader, unless two others
+// read: after the state has ceased to be fresh, in the order of their slots.
 func (pol *ReaderPolicy) takeoverAt() time.Time {
-	slot := pol.staggerSlot()
-	if !pol.balancer {
-		slot += takeoverSlots
-	}
-	return pol.confirmedAt.Add(StaleAfter + slot*takeoverStagger)
+	delay := pol.share(takeoverShare-freshShare) * pol.staggerSlot() / staggerSlots
+	return pol.confirmedAt.Add(pol.share(freshShare) + delay)
+}
+
+// overdueAt returns when a balancer reads whoever else does, because the others
+// have not kept its state up to date.
+func (pol *ReaderPolicy) overdueAt() time.Time {
+	return pol.confirmedAt.Add(pol.share(takeoverShare))
+}
+
+// agentTakeoverAt returns when an agent reads: after all balancers, as only they
+// send new flows to upstreams.
+func (pol *ReaderPolicy) agentTakeoverAt() time.Time {
+	return pol.confirmedAt.Add(pol.maxAge + (staggerSlots+pol.staggerSlot())*agentStagger)
+}
+
+// share returns a part of the age that the state may reach.
+func (pol *ReaderPolicy) share(part float64) time.Duration {
+	return time.Duration(part * float64(pol.maxAge))
 }
 
 // staggerSlot returns the slot by which the process delays an action that other
 // processes would take at the same time.
 func (pol *ReaderPolicy) staggerSlot() time.Duration {
-	return time.Duration(rankOf(pol.self) % takeoverSlots)
+	return time.Duration(rankOf(pol.self) % staggerSlots)
 }
 
 // rankOf returns the hash of an IP address, which orders the processes in the same
--- a/core/mirror/policy_test.go
+++ b/core/mirror/policy_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,6 +12,20 @@
 
 func balancerIP(num int) [4]byte { return [4]byte{10, 0, byte(num >> 8), byte(num)} }
 
+// maxAge is the bound of a small deployment.
+const maxAge = 3 * time.Second
+
+// When a state is no longer fresh, and when it is overdue.
+const (
+	freshFor     = maxAge * 6 / 10
+	overdueAfter = maxAge * 8 / 10
+)
+
+// newPolicy returns the policy of a process with the first three balancers as seeds.
+func newPolicy(num int, balancer bool, maxAge time.Duration) *ReaderPolicy {
+	return NewReaderPolicy(balancerIP(num), balancer, seedsOf(), maxAge)
+}
+
 // seedsOf returns the first three balancers.
 func seedsOf() [][4]byte { return [][4]byte{balancerIP(0), balancerIP(1), balancerIP(2)} }
 
@@ -20,7 +35,7 @@
 func readersOf(fleet int, age time.Duration, reachable, heard func(num int) bool) int {
 	count := 0
 	for self := range fleet {
-		pol := NewReaderPolicy(balancerIP(self), true, seedsOf())
+		pol := newPolicy(self, true, maxAge)
 		pol.NoteConfirmed(start.Add(-age))
 		for num := range fleet {
 			if num != self && heard(num) {
@@ -56,26 +71,51 @@
 // When no seed reads, the other balancers become backup readers one after the
 // other, until the heartbeats of other readers reach them.
 func TestBackupReadersTakeOver(t *testing.T) {
-	assert.Equal(t, readersOf(59, StaleAfter-time.Millisecond, none, none), 3) // The seeds, which keep trying.
-	first := readersOf(59, StaleAfter+takeoverStagger, none, none)
+	assert.Equal(t, readersOf(59, freshFor-time.Millisecond, none, none), 3) // The seeds, which keep trying.
+	first := readersOf(59, freshFor+overdueAfter/staggerSlots/4, none, none)
 	assert.Assert(t, first > 3 && first < 20, first)
-	assert.Equal(t, readersOf(59, StaleAfter+takeoverSlots*takeoverStagger, none, none), 59)
+	assert.Equal(t, readersOf(59, overdueAfter, none, none), 59)
 
-	pol := NewReaderPolicy(balancerIP(9), true, seedsOf())
-	pol.NoteConfirmed(start.Add(-2 * StaleAfter))
+	pol := newPolicy(9, true, maxAge)
+	pol.NoteConfirmed(start.Add(-maxAge))
 	assert.Assert(t, pol.Reads(start))
 	pol.NoteCall(true, start)
 	assert.Assert(t, pol.Reads(start.Add(time.Second)), "no other reader is known")
 	pol.NotePeer(balancerIP(0), true, true, start)
 	pol.NotePeer(balancerIP(1), true, true, start)
 	assert.Assert(t, !pol.Reads(start))
-	assert.Assert(t, !pol.Reads(start.Add(2*peerTimeout)), "a backup reader must not resume while the state is fresh")
+	assert.Assert(t, !pol.Reads(start.Add(freshFor-1)), "a backup reader must not resume while the state is fresh")
+}
+
+// Guards against a state that gets older than a change may take when all seeds are
+// lost, or when those that claim to read do not pass on what they read.
+func TestBackupReadersTakeOverWithinTheBound(t *testing.T) {
+	const slack = 500 * time.Millisecond // For a slow answer of the platform.
+	for _, bound := range []time.Duration{3 * time.Second, 5 * time.Second, 6 * time.Second} {
+		for _, claims := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/claims=%t", bound, claims), func(t *testing.T) {
+				for num := 3; num < 1000; num++ {
+					pol := newPolicy(num, true, bound)
+					pol.NoteConfirmed(start)
+					at := start.Add(bound - slack)
+					for seed := range seedsOf() {
+						pol.NotePeer(balancerIP(seed), true, true, start)
+						if claims {
+							pol.NotePeer(balancerIP(seed), true, true, at)
+						}
+					}
+					assert.Assert(t, !pol.Reads(start.Add(bound/2)), num)
+					assert.Assert(t, pol.Reads(at), num)
+				}
+			})
+		}
+	}
 }
 
 // Backup readers wait between attempts while the platform answers nobody.
 func TestBackupReadersBackOff(t *testing.T) {
-	pol := NewReaderPolicy(balancerIP(9), true, seedsOf())
-	pol.NoteConfirmed(start.Add(-2 * StaleAfter))
+	pol := newPolicy(9, true, maxAge)
+	pol.NoteConfirmed(start.Add(-maxAge))
 	pol.NoteCall(false, start)
 	assert.Assert(t, !pol.Reads(start.Add(backupRetryInterval-1)))
 	assert.Assert(t, pol.Reads(start.Add(backupRetryInterval)))
@@ -86,11 +126,11 @@
 		age  time.Duration
 		want bool
 	}{
-		"fresh": {StaleAfter, false},
-		"stale": {StaleAfter + 2*takeoverSlots*takeoverStagger, true},
+		"fresh": {maxAge, false},
+		"stale": {maxAge + 2*staggerSlots*agentStagger, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			pol := NewReaderPolicy(balancerIP(1), false, seedsOf())
+			pol := newPolicy(1, false, maxAge)
 			pol.NoteConfirmed(start.Add(-tc.age))
 			assert.Equal(t, pol.Reads(start), tc.want)
 		})
@@ -100,12 +140,12 @@
 // When the whole system starts, the seeds read the platform first and the others
 // ask the seeds afterwards.
 func TestSeedsBootstrapFirst(t *testing.T) {
-	assert.Equal(t, NewReaderPolicy(balancerIP(0), true, seedsOf()).BootstrapAt(start), start)
+	assert.Equal(t, newPolicy(0, true, maxAge).BootstrapAt(start), start)
 	for num := range 100 {
 		for _, balancer := range []bool{false, true} {
-			at := NewReaderPolicy(balancerIP(10+num), balancer, seedsOf()).BootstrapAt(start)
+			at := newPolicy(10+num, balancer, maxAge).BootstrapAt(start)
 			assert.Assert(t, !at.Before(start.Add(bootstrapDelay)) && at.Before(start.Add(3*time.Second)), at)
 		}
 	}
-	assert.Assert(t, NewReaderPolicy(balancerIP(9), false, seedsOf()).Reads(start))
+	assert.Assert(t, newPolicy(9, false, maxAge).Reads(start))
 }
--- a/io/carry/base.go
+++ b/io/carry/base.go
@@ -76,7 +76,7 @@
 		supervisor:  suture.New(set.Name(), suture.Spec{EventHook: func(evt suture.Event) { log.Warn("supervisor", zap.String("event", evt.String())) }}),
 	}
 	bas.store = platform.NewStore(set.Platform())
-	bas.replica = gossip.New(bas.store, platform.HistoryLost, self.Addr().As4(), balancer, set.FirstStart(), bas.seeds(set), log)
+	bas.replica = gossip.New(bas.store, platform.HistoryLost, self.Addr().As4(), balancer, set.FirstStart(), bas.seeds(set), set.MaxStateAge(), log)
 	return bas, nil
 }
 
--- a/io/conf/check.go
+++ b/io/conf/check.go
@@ -10,6 +10,8 @@
 const (
 	maxPort    = 1<<16 - 1
 	maxSeconds = 7 * 24 * 3600
+	minMillis  = 100
+	maxMillis  = 3_600_000
 )
 
 // acceptAny accepts every value.
@@ -100,6 +102,13 @@
 	return ""
 }
 
+func checkMillis(value string) string {
+	if num, err := strconv.ParseFloat(value, 64); err != nil || !(num >= minMillis && num <= maxMillis) {
+		return "not a number from " + strconv.Itoa(minMillis) + " to " + strconv.Itoa(maxMillis)
+	}
+	return ""
+}
+
 func checkMbps(value string) string {
 	if mbps, err := strconv.ParseFloat(value, 64); err != nil || !(mbps > 0) {
 		return "not a number above 0"
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -44,6 +44,8 @@
 	{"peer", "address", "127.0.0.1:7842", "ip:port", "address of this process for other processes, over UDP and TCP", checkAddrPort},
 	{"peer", "seeds", "", "ip:port,...", "processes that are asked for the lists at the start, before the platform is trusted", checkAddrPorts},
 	{"platform", "address", "127.0.0.1:7800", "ip:port", "address of the platform's configuration service", checkAddrPort},
+	{"platform", "applyMillis", "3000", "ms", "time within which a change of the desired state has to be in force in every process", checkMillis},
+	{"platform", "drainMillis", "3000", "ms", "time within which a draining upstream has to get no new flows", checkMillis},
 	{"tls", "cert", "cert.pem", "file", "certificate of the process", checkNotEmpty},
 	{"tls", "key", "key.pem", "file", "private key of the process", checkNotEmpty},
 	{"tls", "ca", "ca.pem", "file", "certificate authority of the system's processes", checkNotEmpty},
@@ -242,6 +244,12 @@
 // Platform returns the address of the configuration service.
 func (set *Settings) Platform() netip.AddrPort { return set.addrPort("platform.address") }
 
+// MaxStateAge returns the age that a process's copy of the platform's state may
+// reach, so that every change takes effect in time.
+func (set *Settings) MaxStateAge() time.Duration {
+	return min(set.millis("platform.applyMillis"), set.millis("platform.drainMillis"))
+}
+
 // Upstream returns the address of the upstream beside an agent.
 func (set *Settings) Upstream() netip.AddrPort { return set.addrPort("upstream.address") }
 
@@ -283,5 +291,10 @@
 	return time.Duration(secs) * time.Second
 }
 
+func (set *Settings) millis(key string) time.Duration {
+	num, _ := strconv.ParseFloat(set.get(key), 64) // Checked by readSection.
+	return time.Duration(num * float64(time.Millisecond))
+}
+
 // LogLevel returns the lowest level that is logged.
 func (set *Settings) LogLevel() string { return set.get("log.level") }
--- a/io/gossip/join.go
+++ b/io/gossip/join.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"lagoondrum/core/mirror"
 	"lagoondrum/io/logs"
 )
 
@@ -86,10 +85,17 @@
 	return &upd
 }
 
+// fresh reports whether a state that was confirmed at the given time is recent.
+func (rep *Replica) fresh(confirmedAt, now time.Time) bool {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	return rep.policy.Fresh(confirmedAt, now)
+}
+
 // adoptFresh adopts a seed's state if its last confirmation is recent, and reports
 // whether it did.
 func (rep *Replica) adoptFresh(seed netip.AddrPort, upd update, now time.Time) bool {
-	fresh := upd.revision > 0 && now.Sub(upd.confirmedAt) < mirror.StaleAfter
+	fresh := upd.revision > 0 && rep.fresh(upd.confirmedAt, now)
 	rep.log.Info("seed answered", zap.Stringer("seed", seed), zap.Uint64("revision", upd.revision), zap.Bool("adopted", fresh),
 		zap.Bool("historyComplete", upd.history.Complete(now)), logs.Age("age", upd.confirmedAt, now))
 	if fresh {
--- a/io/gossip/replica.go
+++ b/io/gossip/replica.go
@@ -80,8 +80,9 @@
 
 // New returns the empty replica of a process on the VM with the IP address self.
 // With first set, the whole system starts for the first time. The process asks the
-// seeds for their state when it starts.
-func New(sto Store, lost Lost, self [4]byte, balancer, first bool, seeds []netip.AddrPort, log *zap.Logger) *Replica {
+// seeds for their state when it starts. A change at the platform has to take effect
+// within maxAge.
+func New(sto Store, lost Lost, self [4]byte, balancer, first bool, seeds []netip.AddrPort, maxAge time.Duration, log *zap.Logger) *Replica {
 	dialer := &net.Dialer{Timeout: pullTimeout, KeepAlive: -1}
 	return &Replica{
 		store:       sto,
@@ -90,7 +91,7 @@
 		client:      &http.Client{Timeout: pullTimeout, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
 		mirror:      mirror.New(),
 		firstStart:  first,
-		policy:      mirror.NewReaderPolicy(self, balancer, ipsOf(seeds)),
+		policy:      mirror.NewReaderPolicy(self, balancer, ipsOf(seeds), maxAge),
 		seeds:       slices.DeleteFunc(slices.Clone(seeds), func(seed netip.AddrPort) bool { return seed.Addr() == netip.AddrFrom4(self) }),
 	}
 }
--- a/io/gossip/replica_test.go
+++ b/io/gossip/replica_test.go
@@ -19,6 +19,9 @@
 	"lagoondrum/core/mirror"
 )
 
+// maxAge is the age that the state may reach.
+const maxAge = 3 * time.Second
+
 var errHistoryLost = errors.New("history dropped")
 
 // fakeStore is a Store that returns the fields' values.
@@ -82,7 +85,7 @@
 }
 
 func newReplica(sto Store) (*Replica, *recorder) {
-	rep := New(sto, func(err error) bool { return errors.Is(err, errHistoryLost) }, [4]byte{127, 0, 0, 1}, true, false, nil, zap.NewNop())
+	rep := New(sto, func(err error) bool { return errors.Is(err, errHistoryLost) }, [4]byte{127, 0, 0, 1}, true, false, nil, maxAge, zap.NewNop())
 	rec := &recorder{}
 	rep.OnChange(rec.record, rec)
 	return rep, rec
@@ -142,7 +145,7 @@
 		stale     bool
 	}{
 		"seed up to date": {0, 7, false},
-		"seed stale":      {mirror.StaleAfter, 0, true},
+		"seed stale":      {maxAge, 0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Now()
@@ -150,7 +153,7 @@
 			old.history = intent.NewHistory(now.Add(-time.Hour), []intent.FormerService{intent.NewFormerService(flow.Endpoint{}, "feed", now.Add(time.Minute))})
 			seed.adoptFromPlatform(update{revision: 7, full: true, items: []mirror.Item{mirror.NewItem("a", []byte("1"), 6)}}, now)
 			seed.noteCall(nil)
-			seed.policy = mirror.NewReaderPolicy([4]byte{}, true, nil)
+			seed.policy = mirror.NewReaderPolicy([4]byte{}, true, nil, maxAge)
 			seed.policy.NoteConfirmed(now.Add(-tc.confirmed))
 			srv := httptest.NewServer(http.HandlerFunc(seed.ServeHTTP))
 			defer srv.Close()
