Take a balancer for a reader by its own word only

Cause: a balancer took those on its own list of seeds for readers. Where the lists differ, each half left reading to the other one.

Change: heartbeats tell whether the sender is a seed by its own settings. A balancer counts as a reader while it is heard, says that it reads, and its state is fresh; seeds come first, then the higher hash, which is the same order at every process. The line "reading the platform" tells seed and otherReaders.

TestReaderCountIsBounded and TestThirdSeedReplacesFailedReader fed heartbeats of seeds that did not say that they read; the decisions are now repeated on each other's claims, with the same counts.

--- a/core/encap/header.go
+++ b/core/encap/header.go
@@ -69,6 +69,7 @@
 	flagStateConfirmed                // The desired state at the sender has been confirmed to be the newest.
 	flagReadsPlatform                 // The sender reads the state from the platform itself.
 	flagQueueIfFull                   // The receiver queues the opening if its upstream is full, because other agents were full too.
+	flagSeed                          // The sender is a seed by its own settings.
 )
 
 // HeaderBytes is the length of every header.
@@ -227,6 +228,9 @@
 // the platform itself.
 func (hdr Header) WithReadsPlatform() Header { hdr.flags |= flagReadsPlatform; return hdr }
 
+// WithSeed returns the header of a sender that is a seed by its own settings.
+func (hdr Header) WithSeed() Header { hdr.flags |= flagSeed; return hdr }
+
 // WithStateConfirmed returns the header of a sender whose state has been
 // confirmed to be the newest. WithSeq sets how long ago.
 func (hdr Header) WithStateConfirmed() Header { hdr.flags |= flagStateConfirmed; return hdr }
@@ -280,6 +284,9 @@
 // ReadsPlatform reports whether the sender reads the state from the platform itself.
 func (hdr Header) ReadsPlatform() bool { return hdr.flags&flagReadsPlatform != 0 }
 
+// Seed reports whether the sender is a seed by its own settings.
+func (hdr Header) Seed() bool { return hdr.flags&flagSeed != 0 }
+
 // StateConfirmed reports whether the sender's state has been confirmed to be
 // the newest. Seq returns how long ago.
 func (hdr Header) StateConfirmed() bool { return hdr.flags&flagStateConfirmed != 0 }
--- a/core/encap/header_test.go
+++ b/core/encap/header_test.go
@@ -16,7 +16,7 @@
 		"refusal":   New(Refused, 7, key).WithReason(Bounced).WithLoad(NewLoad(24, 9)).WithUpstreamDown(),
 		"opening":   New(Open, 7, key).WithUrgency(flow.NewUrgency(3, 250*time.Millisecond, 2500*time.Millisecond)).WithQueueIfFull(),
 		"opened":    New(Opened, 7, key).WithSeq(5000),
-		"heartbeat": NewHeartbeat(7, 1<<60, 12).WithLeaving(true).WithPlatformReachable().WithStateConfirmed(),
+		"heartbeat": NewHeartbeat(7, 1<<60, 12).WithLeaving(true).WithPlatformReachable().WithStateConfirmed().WithSeed(),
 	} {
 		t.Run(name, func(t *testing.T) {
 			var buf [HeaderBytes]byte
--- a/core/mirror/policy.go
+++ b/core/mirror/policy.go
@@ -24,17 +24,36 @@
 	takeoverShare = 0.8 // By then every balancer that no reader keeps up to date reads.
 )
 
-// peer is what the last heartbeat of another balancer said.
-type peer struct {
-	heardAt           time.Time
+// Claims is what a balancer says of itself in a heartbeat.
+type Claims struct {
+	confirmedAt       time.Time
 	platformReachable bool
 	reading           bool
+	seed              bool
+}
+
+// NewClaims returns the claims of a balancer whose state was confirmed at the given
+// time: whether the platform answered its last call, whether it reads the platform,
+// and whether it is a seed by its own settings.
+func NewClaims(confirmedAt time.Time, platformReachable, reading, seed bool) Claims {
+	return Claims{confirmedAt: confirmedAt, platformReachable: platformReachable, reading: reading, seed: seed}
+}
+
+// ConfirmedAt returns when the balancer's state was confirmed to be the newest.
+func (clm Claims) ConfirmedAt() time.Time { return clm.confirmedAt }
+
+// peer is another balancer, with the claims of its last heartbeat.
+type peer struct {
+	Claims
+	heardAt time.Time
 }
 
 // ReaderPolicy decides whether a process reads the platform itself. The seeds
 // do, as every process knows them whatever the size of the fleet: two at a
 // time, those with the highest hash. The other processes learn the state from
-// them, and become backup readers when their own state is stale.
+// them, and become backup readers when their own state is stale. Settings of
+// processes may name different seeds, so who reads is known from the readers
+// themselves, and only as long as they are heard and their own state is fresh.
 type ReaderPolicy struct {
 	self              [4]byte
 	balancer          bool
@@ -70,15 +89,14 @@
 	switch {
 	case answered:
 		pol.confirmedAt = now
-	case !pol.confirmedAt.IsZero() && !(pol.balancer && pol.isSeed(pol.self)):
+	case !pol.confirmedAt.IsZero() && !pol.Seed():
 		pol.retryAt = now.Add(backupRetryInterval)
 	}
 }
 
-// NotePeer records a heartbeat of another balancer: whether the platform answered
-// its last call, and whether it reads the platform.
-func (pol *ReaderPolicy) NotePeer(ip [4]byte, platformReachable, reading bool, now time.Time) {
-	pol.peers[ip] = peer{heardAt: now, platformReachable: platformReachable, reading: reading}
+// NotePeer records the claims of another balancer's heartbeat.
+func (pol *ReaderPolicy) NotePeer(ip [4]byte, clm Claims, now time.Time) {
+	pol.peers[ip] = peer{Claims: clm, heardAt: now}
 }
 
 // NoteConfirmed records that the state was the platform's newest at the given time.
@@ -110,7 +128,10 @@
 	return heard, reading
 }
 
-func (pol *ReaderPolicy) isSeed(ip [4]byte) bool { return len(pol.seeds) == 0 || pol.seeds[ip] }
+// Seed reports whether the process is a seed by its own settings.
+func (pol *ReaderPolicy) Seed() bool {
+	return pol.balancer && (len(pol.seeds) == 0 || pol.seeds[pol.self])
+}
 
 // Reads decides whether the process reads the platform now.
 func (pol *ReaderPolicy) Reads(now time.Time) bool {
@@ -127,7 +148,7 @@
 	case !now.Before(pol.takeoverAt()):
 		pol.backup = true
 	}
-	if !pol.isSeed(pol.self) && !pol.backup {
+	if !pol.Seed() && !pol.backup {
 		return false
 	}
 	if pol.preferredReaders(now) >= ReaderCount {
@@ -140,29 +161,45 @@
 // BootstrapAt returns when a process first asks for the state if the whole system
 // starts at the given time: the seeds at once, the others when the seeds know it.
 func (pol *ReaderPolicy) BootstrapAt(start time.Time) time.Time {
-	if pol.balancer && pol.isSeed(pol.self) {
+	if pol.Seed() {
 		return start
 	}
 	return start.Add(bootstrapDelay + pol.staggerSlot()*bootstrapStagger)
 }
 
-// preferredReaders returns the number of live balancers that are expected to read
-// the platform in preference to this one.
+// Readers returns how many other balancers keep their state up to date by reading the
+// platform.
+func (pol *ReaderPolicy) Readers(now time.Time) int {
+	return pol.countPeers(func(_ [4]byte, per peer) bool { return pol.readsNow(per, now) })
+}
+
+// preferredReaders returns how many of them read in preference to this process.
 func (pol *ReaderPolicy) preferredReaders(now time.Time) int {
+	return pol.countPeers(func(ip [4]byte, per peer) bool { return pol.readsNow(per, now) && pol.preferred(ip, per) })
+}
+
+func (pol *ReaderPolicy) countPeers(matches func(ip [4]byte, per peer) bool) int {
 	count := 0
 	for ip, per := range pol.peers {
-		if per.platformReachable && now.Sub(per.heardAt) < peerTimeout && (per.reading || pol.isSeed(ip)) && pol.preferred(ip) {
+		if matches(ip, per) {
 			count++
 		}
 	}
 	return count
 }
 
-// preferred reports whether the balancer at ip reads in preference to this one:
-// seeds come first, then the higher hash.
-func (pol *ReaderPolicy) preferred(ip [4]byte) bool {
-	if seed := pol.isSeed(ip); seed != pol.isSeed(pol.self) {
-		return seed
+// readsNow reports whether a balancer keeps its state up to date by reading the
+// platform.
+func (pol *ReaderPolicy) readsNow(per peer, now time.Time) bool {
+	return per.reading && per.platformReachable && now.Sub(per.heardAt) < peerTimeout && pol.Fresh(per.confirmedAt, now)
+}
+
+// preferred reports whether a balancer reads in preference to this one: seeds come
+// first, then the higher hash. The order is the same at all processes, since each
+// tells by its own settings whether it is a seed.
+func (pol *ReaderPolicy) preferred(ip [4]byte, per peer) bool {
+	if per.seed != pol.Seed() {
+		return per.seed
 	}
 	return rankOf(ip) > rankOf(pol.self)
 }
--- a/core/mirror/policy_test.go
+++ b/core/mirror/policy_test.go
@@ -31,18 +31,27 @@
 
 // readersOf counts the balancers of a fleet that read the platform, when the state
 // was confirmed an age ago and each balancer has heartbeats of those that heard
-// selects, with the platform reachable for those that reachable selects.
+// selects, with the platform reachable for those that reachable selects. The
+// decisions are repeated until each is based on the others' last one.
 func readersOf(fleet int, age time.Duration, reachable, heard func(num int) bool) int {
-	count := 0
-	for self := range fleet {
-		pol := newPolicy(self, true, maxAge)
-		pol.NoteConfirmed(start.Add(-age))
-		for num := range fleet {
-			if num != self && heard(num) {
-				pol.NotePeer(balancerIP(num), reachable(num), false, start)
+	reading := make([]bool, fleet)
+	for range 5 {
+		decided := make([]bool, fleet)
+		for self := range fleet {
+			pol := newPolicy(self, true, maxAge)
+			pol.NoteConfirmed(start.Add(-age))
+			for num := range fleet {
+				if num != self && heard(num) {
+					pol.NotePeer(balancerIP(num), NewClaims(start.Add(-age), reachable(num), reading[num], isSeed(num)), start)
+				}
 			}
+			decided[self] = pol.Reads(start)
 		}
-		if pol.Reads(start) {
+		reading = decided
+	}
+	count := 0
+	for _, reads := range reading {
+		if reads {
 			count++
 		}
 	}
@@ -81,8 +90,8 @@
 	assert.Assert(t, pol.Reads(start))
 	pol.NoteCall(true, start)
 	assert.Assert(t, pol.Reads(start.Add(time.Second)), "no other reader is known")
-	pol.NotePeer(balancerIP(0), true, true, start)
-	pol.NotePeer(balancerIP(1), true, true, start)
+	pol.NotePeer(balancerIP(0), NewClaims(start, true, true, true), start)
+	pol.NotePeer(balancerIP(1), NewClaims(start, true, true, true), start)
 	assert.Assert(t, !pol.Reads(start))
 	assert.Assert(t, !pol.Reads(start.Add(freshFor-1)), "a backup reader must not resume while the state is fresh")
 }
@@ -99,9 +108,9 @@
 					pol.NoteConfirmed(start)
 					at := start.Add(bound - slack)
 					for seed := range seedsOf() {
-						pol.NotePeer(balancerIP(seed), true, true, start)
+						pol.NotePeer(balancerIP(seed), NewClaims(start, true, true, true), start)
 						if claims {
-							pol.NotePeer(balancerIP(seed), true, true, at)
+							pol.NotePeer(balancerIP(seed), NewClaims(at, true, true, true), at)
 						}
 					}
 					assert.Assert(t, !pol.Reads(start.Add(bound/2)), num)
@@ -112,6 +121,57 @@
 	}
 }
 
+// Guards against a fleet in which nobody reads, because each half regards balancers of
+// the other one as the seeds.
+func TestDifferentSeedListsLeaveReaders(t *testing.T) {
+	for name, seeds := range map[string]func(num int) [][4]byte{
+		"the other half": func(num int) [][4]byte {
+			other := (num/3 + 1) % 2 * 3
+			return [][4]byte{balancerIP(other), balancerIP(other + 1), balancerIP(other + 2)}
+		},
+		"a seed that is gone": func(int) [][4]byte { return [][4]byte{balancerIP(99)} },
+		"its own half": func(num int) [][4]byte {
+			return [][4]byte{balancerIP(num / 3 * 3), balancerIP(num/3*3 + 1), balancerIP(num/3*3 + 2)}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var fleet []*ReaderPolicy
+			for num := range 6 {
+				pol := NewReaderPolicy(balancerIP(num), true, seeds(num), maxAge)
+				pol.NoteConfirmed(start)
+				fleet = append(fleet, pol)
+			}
+			oldest, calls := playFleet(fleet, start, start.Add(time.Minute))
+			assert.Assert(t, oldest < overdueAfter, oldest)
+			assert.Assert(t, calls <= (ReaderCount+1)*60, calls)
+		})
+	}
+}
+
+// playFleet lets the balancers of a fleet read the platform, with a call a second, and
+// send heartbeats to each other. It returns the highest age of the state at one of
+// them and the number of calls.
+func playFleet(fleet []*ReaderPolicy, from, until time.Time) (oldest time.Duration, calls int) {
+	calledAt := make([]time.Time, len(fleet))
+	for now := from; now.Before(until); now = now.Add(250 * time.Millisecond) {
+		for self, pol := range fleet {
+			if pol.Reads(now) && now.Sub(calledAt[self]) >= time.Second {
+				pol.NoteCall(true, now)
+				calledAt[self] = now
+				calls++
+			}
+			oldest = max(oldest, now.Sub(pol.ConfirmedAt()))
+			for num, per := range fleet {
+				if num != self {
+					per.NotePeer(pol.self, NewClaims(pol.ConfirmedAt(), true, pol.Reads(now), pol.Seed()), now)
+					per.NoteConfirmed(pol.ConfirmedAt())
+				}
+			}
+		}
+	}
+	return oldest, calls
+}
+
 // Backup readers wait between attempts while the platform answers nobody.
 func TestBackupReadersBackOff(t *testing.T) {
 	pol := newPolicy(9, true, maxAge)
--- a/io/carry/base.go
+++ b/io/carry/base.go
@@ -21,6 +21,7 @@
 	"lagoondrum/core/encap"
 	"lagoondrum/core/fleet"
 	"lagoondrum/core/intent"
+	"lagoondrum/core/mirror"
 	"lagoondrum/io/conf"
 	"lagoondrum/io/gossip"
 	"lagoondrum/io/logs"
@@ -156,6 +157,9 @@
 	if bas.replica.Reading() {
 		hdr = hdr.WithReadsPlatform()
 	}
+	if bas.replica.Seed() {
+		hdr = hdr.WithSeed()
+	}
 	return hdr
 }
 
@@ -165,8 +169,9 @@
 	if !hdr.StateConfirmed() {
 		return
 	}
-	confirmed := now.Add(-time.Duration(hdr.Seq()) * time.Millisecond)
-	bas.replica.Heard(from, hdr.Service() == 0, hdr.PlatformReachable(), hdr.ReadsPlatform(), hdr.Revision(), confirmed, now)
+	confirmedAt := now.Add(-time.Duration(hdr.Seq()) * time.Millisecond)
+	clm := mirror.NewClaims(confirmedAt, hdr.PlatformReachable(), hdr.ReadsPlatform(), hdr.Seed())
+	bas.replica.Heard(from, hdr.Service() == 0, clm, hdr.Revision(), now)
 }
 
 // announceState sends a heartbeat immediately to up to announceFanout random agents,
--- a/io/gossip/pull.go
+++ b/io/gossip/pull.go
@@ -10,20 +10,22 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"lagoondrum/core/mirror"
 )
 
 // Heard handles a peer's heartbeat, which reports the peer's revision and when that
 // was confirmed to be the newest. If the revision is newer than the replica's, the
 // changes are fetched from the peer.
-func (rep *Replica) Heard(from netip.AddrPort, balancer, able, reads bool, revision uint64, confirmedAt, now time.Time) {
+func (rep *Replica) Heard(from netip.AddrPort, balancer bool, clm mirror.Claims, revision uint64, now time.Time) {
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
 	if balancer {
-		rep.policy.NotePeer(from.Addr().As4(), able, reads, now)
+		rep.policy.NotePeer(from.Addr().As4(), clm, now)
 	}
 	if revision <= rep.mirror.Revision() {
 		if revision == rep.mirror.Revision() {
-			rep.policy.NoteConfirmed(confirmedAt)
+			rep.policy.NoteConfirmed(clm.ConfirmedAt())
 		}
 		if revision > 0 && rep.historyRequests < maxHistoryRequests && !rep.pulling {
 			rep.historyRequests++
--- a/io/gossip/replica.go
+++ b/io/gossip/replica.go
@@ -143,6 +143,13 @@
 	return rep.reading
 }
 
+// Seed reports whether this process is a seed by its own settings.
+func (rep *Replica) Seed() bool {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	return rep.policy.Seed()
+}
+
 // Balancers returns the balancers with a recent heartbeat, and those among them
 // that read the platform.
 func (rep *Replica) Balancers(now time.Time) (heard, reading [][4]byte) {
@@ -256,7 +263,7 @@
 	if reads != rep.reading {
 		rep.reading = reads
 		rep.log.Info("reading the platform", zap.Bool("reads", reads), zap.Uint64("revision", rep.mirror.Revision()),
-			logs.Age("age", rep.policy.ConfirmedAt(), now))
+			logs.Age("age", rep.policy.ConfirmedAt(), now), zap.Bool("seed", rep.policy.Seed()), zap.Int("otherReaders", rep.policy.Readers(now)))
 	}
 	return reads
 }
--- a/io/gossip/replica_test.go
+++ b/io/gossip/replica_test.go
@@ -117,12 +117,12 @@
 	behind, rec := newReplica(&fakeStore{})
 	from := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
 	now := time.Now()
-	behind.Heard(from, true, true, false, 7, now, now)
+	behind.Heard(from, true, mirror.NewClaims(now, true, false, false), 7, now)
 	for deadline := now.Add(10 * time.Second); behind.Revision() != 7; time.Sleep(time.Millisecond) {
 		assert.Assert(t, time.Now().Before(deadline))
 	}
 	assert.DeepEqual(t, rec.recordedKeys(), []string{"a", "b"})
-	behind.Heard(from, true, true, false, 7, now, now)
+	behind.Heard(from, true, mirror.NewClaims(now, true, false, false), 7, now)
 	assert.Equal(t, behind.ConfirmedAt(), now)
 }
 
