Give an address to an entry of a named service first

Cause: an address belonged to the entry with the latest born, whatever its service. The upstream left its service's agents, was not asked for its flows, and the others' denials passed for proof. Its agent also applied the foreign entry as its own.

Change: of two entries of one address that of a service which the desired state names wins; only then does the later start count. An agent applies entries of the service of its settings only. The lines "upstream listed" and "entry of another service has this VM's address" tell it.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lagoondrum/core/encap"
+	"lagoondrum/core/intent"
 )
 
 // lapseGrace is how long an upstream is kept after its entry has gone, while its
@@ -22,6 +23,7 @@
 	agents    map[[4]byte]*Agent   // By the IP address of the VM.
 	services  map[string][]*Agent  // By the service's name, each sorted by IP address.
 	all       []*Agent             // Sorted by IP address.
+	state     *intent.State        // The desired state in force; nil before the first one.
 }
 
 // New returns an empty fleet.
@@ -33,6 +35,19 @@
 	}
 }
 
+// SetState sets the desired state in force, which names the services.
+func (flt *Fleet) SetState(stt *intent.State) {
+	if flt.state != stt {
+		flt.state = stt
+		flt.rebuild()
+	}
+}
+
+// namesService reports whether the desired state names a service.
+func (flt *Fleet) namesService(name string) bool {
+	return flt.state == nil || flt.state.NamesService(name)
+}
+
 // PutEntry adds an upstream, or replaces what its former entry said.
 func (flt *Fleet) PutEntry(ups *Upstream, now time.Time) {
 	flt.upstreams[ups.id] = ups
@@ -75,12 +90,11 @@
 	return dropped
 }
 
-// rebuild assigns to each VM the upstream that started last there: an address may
-// be listed both for an upstream that has ended and for its successor.
+// rebuild assigns to each VM one of the upstreams that are listed with its address.
 func (flt *Fleet) rebuild() {
 	current := make(map[[4]byte]*Upstream, len(flt.upstreams))
 	for _, ups := range flt.upstreams {
-		if old := current[ups.address]; old == nil || ups.startedLater(old) {
+		if old := current[ups.address]; old == nil || flt.takesOver(ups, old) {
 			current[ups.address] = ups
 		}
 	}
@@ -99,6 +113,18 @@
 	flt.rebuildIndex()
 }
 
+// takesOver reports whether an address that is listed for two upstreams is that of
+// ups: it belongs to the one that started last, as the other one has ended. An entry
+// of a service that the desired state does not name may be anybody's, so it takes no
+// address that has another entry. Alone it stays: its service may have been named
+// while flows were opened that are still open.
+func (flt *Fleet) takesOver(ups, old *Upstream) bool {
+	if named := flt.namesService(ups.service); named != flt.namesService(old.service) {
+		return named
+	}
+	return ups.startedLater(old)
+}
+
 // startedLater reports whether ups started after old; equal starts are ordered by ID.
 func (ups *Upstream) startedLater(old *Upstream) bool {
 	if ups.startMillis != old.startMillis {
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"lagoondrum/core/encap"
+	"lagoondrum/core/intent"
 )
 
 var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
@@ -33,6 +34,55 @@
 	assertServes(t, flt, "feed")
 }
 
+// Guards against an entry of another writer that takes the address of an upstream,
+// whose agent is then no longer asked for its flows.
+func TestEntryOfAnUnnamedServiceTakesNoAddress(t *testing.T) {
+	naming := func(version uint64, services ...string) *intent.State {
+		return intent.NewState(version, nil, time.Second).WithServices(services)
+	}
+	for name, tc := range map[string]struct {
+		list func(flt *Fleet)
+		want []string // Upstreams of the named service.
+	}{
+		"that comes later": {func(flt *Fleet) {
+			flt.SetState(naming(1, "feed"))
+			putUpstream(flt, "a", "feed", 1, false, 1)
+			putUpstream(flt, "foreign", "unnamed", 1, false, 2)
+		}, []string{"a"}},
+		"that comes first": {func(flt *Fleet) {
+			flt.SetState(naming(1, "feed"))
+			putUpstream(flt, "foreign", "unnamed", 1, false, 2)
+			putUpstream(flt, "a", "feed", 1, false, 1)
+		}, []string{"a"}},
+		"that comes before the state": {func(flt *Fleet) {
+			putUpstream(flt, "a", "feed", 1, false, 1)
+			putUpstream(flt, "foreign", "unnamed", 1, false, 2)
+			flt.SetState(naming(1, "feed"))
+		}, []string{"a"}},
+		"until a state names it": {func(flt *Fleet) {
+			flt.SetState(naming(1, "feed"))
+			putUpstream(flt, "a", "feed", 1, false, 1)
+			putUpstream(flt, "foreign", "unnamed", 1, false, 2)
+			flt.SetState(naming(2, "feed", "unnamed"))
+		}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			flt := New()
+			tc.list(flt)
+			assertServes(t, flt, "feed", tc.want...)
+			assert.Equal(t, flt.Len(), 1)
+		})
+	}
+}
+
+// Flows of a service that is no longer named may still be open.
+func TestUpstreamOfAFormerServiceIsKept(t *testing.T) {
+	flt := New()
+	putUpstream(flt, "a", "feed", 1, false, 1)
+	flt.SetState(intent.NewState(1, nil, time.Second).WithServices([]string{"upload"}))
+	assertServes(t, flt, "feed", "a")
+}
+
 // During an outage of the platform entries lapse although their upstreams run.
 func TestLapsedEntryIsKeptForAWhile(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -85,15 +85,33 @@
 type State struct {
 	version     uint64
 	routes      map[flow.Endpoint]*Route
+	services    map[string]bool
 	idleTimeout time.Duration
 }
 
 // NewState returns a version of the desired state with its routes and the idle
-// timeout of flows.
+// timeout of flows. It names the services that its routes lead to.
 func NewState(version uint64, routes map[flow.Endpoint]*Route, idleTimeout time.Duration) *State {
-	return &State{version: version, routes: routes, idleTimeout: idleTimeout}
+	stt := &State{version: version, routes: routes, services: make(map[string]bool), idleTimeout: idleTimeout}
+	for _, rte := range routes {
+		for _, shr := range rte.shares {
+			stt.services[shr.service] = true
+		}
+	}
+	return stt
+}
+
+// WithServices adds services that the state names, and returns the state.
+func (stt *State) WithServices(names []string) *State {
+	for _, name := range names {
+		stt.services[name] = true
+	}
+	return stt
 }
 
+// NamesService reports whether the state names a service.
+func (stt *State) NamesService(name string) bool { return stt.services[name] }
+
 // Version returns the version number that the operators gave the state.
 func (stt *State) Version() uint64 { return stt.version }
 
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -43,6 +43,7 @@
 	fleet           *fleet.Fleet
 	tracker         *intent.Tracker // Its history is served to balancers that start when no other balancer is running.
 	metrics         *agentMetrics
+	foreignEntry    string                       // ID of the last entry with this VM's address that is not its upstream's.
 	balancerHeardAt map[netip.AddrPort]time.Time // When the last heartbeat of each balancer arrived.
 	wake            chan struct{}
 	gauges          gauges
@@ -144,6 +145,7 @@
 	agt.adoptStates(agt.tracker, states, nws.Origin(), now)
 	if stt := agt.tracker.State(); stt != nil {
 		agt.table.SetState(stt)
+		agt.fleet.SetState(stt)
 	}
 	for _, itm := range items {
 		agt.applyEntry(itm, now)
@@ -173,15 +175,21 @@
 	agt.fleet.PutEntry(fleet.NewUpstream(lst, now), now)
 }
 
-// applyOwnEntry applies the entry of the agent's own upstream to the flow table.
+// applyOwnEntry applies the entry of the agent's own upstream to the flow table. The
+// settings tell which service that upstream has: an entry of another one is that of a
+// former upstream of the VM, or of another writer.
 func (agt *agent) applyOwnEntry() {
 	own := agt.fleet.Agent(agt.self.Addr().As4())
 	if own == nil {
 		return
 	}
 	ups := own.Upstream()
+	if encap.ServiceID(ups.Service()) != agt.table.Service() {
+		agt.logForeignEntry(ups)
+		return
+	}
 	leaving := ups.Draining()
-	if leaving != agt.table.Leaving() || encap.ServiceID(ups.Service()) != agt.table.Service() {
+	if leaving != agt.table.Leaving() {
 		agt.log.Info("own upstream", zap.String("id", ups.ID()), zap.String("service", ups.Service()), zap.Bool("draining", leaving))
 	}
 	agt.table.SetLeaving(leaving)
@@ -192,6 +200,15 @@
 	}
 }
 
+// logForeignEntry logs once that an entry with the VM's address is not that of the
+// agent's upstream.
+func (agt *agent) logForeignEntry(ups *fleet.Upstream) {
+	if agt.foreignEntry != ups.ID() {
+		agt.foreignEntry = ups.ID()
+		agt.log.Warn("entry of another service has this VM's address", zap.String("id", ups.ID()), zap.String("service", ups.Service()))
+	}
+}
+
 // upstreamReader reads the packets that the upstream sends.
 type upstreamReader struct{ agt *agent }
 
--- a/io/carry/state.go
+++ b/io/carry/state.go
@@ -65,6 +65,7 @@
 	blc.mu.Lock()
 	defer blc.mu.Unlock()
 	blc.adoptStates(blc.tracker, states, nws.Origin(), now)
+	blc.fleet.SetState(blc.tracker.State())
 	for _, itm := range items {
 		blc.applyEntry(itm, now)
 	}
@@ -99,5 +100,5 @@
 	}
 	blc.fleet.PutEntry(fleet.NewUpstream(lst, now), now)
 	blc.log.Info("upstream listed", zap.String("id", id), zap.String("service", lst.Service), zap.Stringer("vm", netip.AddrFrom4(lst.Address)),
-		zap.Bool("draining", lst.Draining), zap.Duration("cold", lst.ColdFor), zap.Uint64("revision", itm.Revision()))
+		zap.Bool("draining", lst.Draining), zap.Duration("cold", lst.ColdFor), zap.Bool("serviceNamed", blc.tracker.State() == nil || blc.tracker.State().NamesService(lst.Service)), zap.Uint64("revision", itm.Revision()))
 }
