Distrust an upstream's start that is still to come

Cause: the agent took its flow table for complete, since by the time of day the upstream had started after it. The log says so 2 ms after the agent's start.

Change: an entry keeps when this process first read it. A start after that moment was told by a clock that has been set back, and proves nothing.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -50,6 +50,9 @@
 
 // PutEntry adds an upstream, or replaces what its former entry said.
 func (flt *Fleet) PutEntry(ups *Upstream, now time.Time) {
+	if known := flt.upstreams[ups.id]; known != nil && known.sameIncarnation(ups) {
+		ups.seenAt = known.seenAt
+	}
 	flt.upstreams[ups.id] = ups
 	flt.rebuild()
 }
@@ -137,7 +140,7 @@
 // successor. What was learned about the predecessor is reset.
 func (flt *Fleet) setUpstream(agt *Agent, ups *Upstream) {
 	agt.lapsedUntil = time.Time{}
-	if ups.service != agt.upstream.service || ups.id != agt.upstream.id || ups.startMillis != agt.upstream.startMillis {
+	if !ups.sameIncarnation(agt.upstream) {
 		agt.misses = 0
 		agt.avoidUntil = time.Time{}
 		agt.load = encap.Load{}
--- a/core/fleet/upstream.go
+++ b/core/fleet/upstream.go
@@ -12,6 +12,7 @@
 	slots       int
 	draining    bool
 	startMillis int64     // Start of this incarnation, Unix time in ms; 0 when unknown.
+	seenAt      time.Time // When this process first read an entry of this incarnation.
 	coldUntil   time.Time // Until when the upstream is slow after its start.
 }
 
@@ -39,6 +40,7 @@
 		slots:       max(lst.Slots, 1),
 		draining:    lst.Draining,
 		startMillis: lst.StartMillis,
+		seenAt:      now,
 		coldUntil:   now.Add(lst.ColdFor),
 	}
 }
@@ -64,9 +66,17 @@
 // Draining reports whether the upstream takes no new flows.
 func (ups *Upstream) Draining() bool { return ups.draining }
 
-// StartedAfter reports whether the upstream is known to have started after a
-// time by its VM's clock.
-func (ups *Upstream) StartedAfter(when time.Time) bool { return ups.startMillis > when.UnixMilli() }
+// StartedAfter reports whether the upstream is known to have started after a time by
+// its VM's clock. A start that was still to come when its entry was first read was
+// told by a clock that has been set back since, and proves nothing.
+func (ups *Upstream) StartedAfter(when time.Time) bool {
+	return ups.startMillis > when.UnixMilli() && ups.startMillis <= ups.seenAt.UnixMilli()
+}
+
+// sameIncarnation reports whether two entries describe one run of an upstream.
+func (ups *Upstream) sameIncarnation(other *Upstream) bool {
+	return ups.id == other.id && ups.service == other.service && ups.startMillis == other.startMillis
+}
 
 // Cold reports whether the upstream is still slow after its start.
 func (ups *Upstream) Cold(now time.Time) bool { return now.Before(ups.coldUntil) }
