Limit the tries of all balancers together

Cause: the limit of two tries held for one search at one balancer. The next one knew nothing of them, as a denial did not tell that it was the result of a try. In the model an agent that restarted also forgot what it had tried 0.4 s before, and a candidate that was new to one balancer got a third try.

Change: a denial tells how long ago the upstream returned a packet on trial; an agent that cannot tell says for how long it has been running. A balancer counts the tries that it is told of, and those that a predecessor may have made, within 2.2 s. All balancers try in the same order, and an agent delivers one try at a time. These ages are in a field that was unused in these answers.

Two tests gave answers without the agent's uptime; they now give one of a minute.

--- a/core/flows/balancer.go
+++ b/core/flows/balancer.go
@@ -41,11 +41,9 @@
 		rec.balancer = from
 		return encap.Held, rec.upstreamISN
 	case known, denied, tbl.down, tbl.authoritative(now):
-		return encap.Absent, 0
-	case tbl.served[key.Service()]:
-		return encap.Unsure, encap.ServesAddress
+		return encap.Absent, tbl.denialSeq(key, now)
 	default:
-		return encap.Unsure, 0
+		return encap.Unsure, encap.UnsureSeq(tbl.served[key.Service()], now.Sub(tbl.startedAt))
 	}
 }
 
@@ -115,6 +113,9 @@
 		tbl.handleUnknown(key, hdr, pkt, raw, from, now)
 		return
 	}
+	if rec.phase == trying && hdr.Kind() == encap.Try {
+		return // Another balancer's try is under way; a second packet would count against the flow too.
+	}
 	if rec.phase == halfOpen && !pkt.Has(flow.Ack) || !rec.matchesAck(pkt.Ack()) {
 		tbl.notifyAbsent(key, hdr, raw, from, now)
 		return
@@ -177,7 +178,7 @@
 	if hdr.Kind() == encap.Try {
 		raw = nil // The balancer kept a copy.
 	}
-	tbl.notify(from, encap.New(encap.Absent, hdr.Service(), key), raw, now)
+	tbl.notify(from, encap.New(encap.Absent, hdr.Service(), key).WithSeq(tbl.denialSeq(key, now)), raw, now)
 }
 
 // noteClientPacket updates the record of a flow from a packet of its client.
--- a/core/flows/table.go
+++ b/core/flows/table.go
@@ -68,6 +68,12 @@
 	expiresAt      time.Time     // When the record is removed.
 }
 
+// denial is the knowledge that the upstream does not hold a flow.
+type denial struct {
+	until   time.Time // When it is forgotten.
+	triedAt time.Time // When the upstream returned a packet on trial; zero if there was none.
+}
+
 // Table is the table of all flows of one upstream.
 type Table struct {
 	service     uint64
@@ -75,7 +81,7 @@
 	startedAt   time.Time
 	complete    bool // The table lacks no flow, for example because the whole system started with it.
 	records     map[flow.Key]*record
-	denied      map[flow.Key]time.Time
+	denied      map[flow.Key]denial
 	served      map[flow.Endpoint]bool // Addresses on which the upstream has sent packets of flows.
 	unanswered  map[flow.Key]*record   // Flows in the phases opening and trying.
 	ended       []flow.Key             // Flows that are still to be reset after the upstream has ended.
@@ -100,7 +106,7 @@
 		startedAt:   startedAt,
 		complete:    complete,
 		records:     make(map[flow.Key]*record),
-		denied:      make(map[flow.Key]time.Time),
+		denied:      make(map[flow.Key]denial),
 		served:      make(map[flow.Endpoint]bool),
 		unanswered:  make(map[flow.Key]*record),
 		admission:   admission{reserved: make(map[flow.Key]time.Time), announced: make(map[flow.Key]time.Time), requestDelay: maxReserveTime / reserveFactor},
@@ -192,8 +198,24 @@
 // markDenied records for a while that the upstream does not hold a flow.
 func (tbl *Table) markDenied(key flow.Key, now time.Time) {
 	if len(tbl.denied) < maxDenied {
-		tbl.denied[key] = now.Add(deniedRetention)
+		tbl.denied[key] = denial{until: now.Add(deniedRetention)}
+	}
+}
+
+// markTried records the same of a flow whose packet the upstream has returned. The
+// balancers that ask are told, since each such packet counts against the flow.
+func (tbl *Table) markTried(key flow.Key, now time.Time) {
+	if len(tbl.denied) < maxDenied {
+		tbl.denied[key] = denial{until: now.Add(deniedRetention), triedAt: now}
+	}
+}
+
+// denialSeq returns the sequence number of the denial of a flow.
+func (tbl *Table) denialSeq(key flow.Key, now time.Time) uint32 {
+	if triedAt := tbl.denied[key].triedAt; !triedAt.IsZero() {
+		return encap.TriedSeq(now.Sub(triedAt))
 	}
+	return 0
 }
 
 // noteServed records that the upstream serves flows of an address.
--- a/core/flows/table_test.go
+++ b/core/flows/table_test.go
@@ -157,6 +157,23 @@
 		assertActionCount(t, acts, Reset, 0)
 		assert.Equal(t, verdictOf(tbl, start), encap.Absent)
 	})
+	t.Run("the returned packet is told to every balancer that asks", func(t *testing.T) {
+		tbl := newTable(false)
+		sendFromClient(tbl, encap.Try, 5001, start)
+		tbl.HandleUpstreamPacket(fromClient(flow.Ack|flow.Bounced, 5001, 10), []byte("packet"), start)
+		assertTried(t, lastHeader(tbl), 0)
+		sendFromClient(tbl, encap.Try, 5001, start.Add(time.Second))
+		assertTried(t, lastHeader(tbl), time.Second)
+		tbl.HandleQuery(encap.New(encap.Seek, service, flow.Key{}), encap.AppendQuery(nil, key, 5001), balancer, start.Add(2*time.Second))
+		acts := tbl.TakeActions()
+		acts[0].Header().EachVerdict(acts[0].Packet(), func(hdr encap.Header) { assertTried(t, hdr, 2*time.Second) })
+	})
+	t.Run("a second try waits for the first one", func(t *testing.T) {
+		tbl := newTable(false)
+		sendFromClient(tbl, encap.Try, 5001, start)
+		sendFromClient(tbl, encap.Try, 5001, start)
+		assertActionCount(t, tbl.TakeActions(), ToUpstream, 1)
+	})
 	t.Run("the upstream answers", func(t *testing.T) {
 		tbl := newTable(false)
 		sendFromClient(tbl, encap.Try, 5001, start)
@@ -174,6 +191,20 @@
 	})
 }
 
+// lastHeader returns the header of the table's last action.
+func lastHeader(tbl *Table) encap.Header {
+	acts := tbl.TakeActions()
+	return acts[len(acts)-1].Header()
+}
+
+// assertTried checks that a denial tells how long ago the upstream returned a packet.
+func assertTried(t *testing.T, hdr encap.Header, want time.Duration) {
+	t.Helper()
+	age, ok := hdr.Tried()
+	assert.Assert(t, ok)
+	assert.Equal(t, age, want)
+}
+
 // verdictOf returns the answer to a balancer's query about the test flow.
 func verdictOf(tbl *Table, now time.Time) encap.Kind {
 	tbl.HandleQuery(encap.New(encap.Seek, service, flow.Key{}), encap.AppendQuery(nil, key, 5001), balancer, now)
@@ -220,11 +251,11 @@
 	for name, tc := range map[string]struct {
 		flags   flow.Flags
 		service uint64 // After the packet.
-		want    uint32
+		want    bool
 	}{
-		"after an answer":           {flow.Ack, service, encap.ServesAddress},
-		"after a reset":             {flow.Rst, service, 0},
-		"after a change of service": {flow.Ack, service + 1, 0},
+		"after an answer":           {flow.Ack, service, true},
+		"after a reset":             {flow.Rst, service, false},
+		"after a change of service": {flow.Ack, service + 1, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tbl := newTable(false)
@@ -232,11 +263,12 @@
 			tbl.SetService(tc.service)
 			tbl.TakeActions()
 			list := encap.AppendQuery(nil, keyFor(9), 5001)
-			tbl.HandleQuery(encap.New(encap.Seek, tc.service, flow.Key{}), list, balancer, start)
+			tbl.HandleQuery(encap.New(encap.Seek, tc.service, flow.Key{}), list, balancer, start.Add(time.Second))
 			acts := tbl.TakeActions()
 			acts[0].Header().EachVerdict(acts[0].Packet(), func(hdr encap.Header) {
 				assert.Equal(t, hdr.Kind(), encap.Unsure)
-				assert.Equal(t, hdr.Seq(), tc.want)
+				assert.Equal(t, hdr.ServesAddress(), tc.want)
+				assert.Equal(t, hdr.Uptime(), time.Second)
 			})
 		})
 	}
--- a/core/flows/tick.go
+++ b/core/flows/tick.go
@@ -140,8 +140,8 @@
 			tbl.meter.end(rec, now)
 		}
 	}
-	for key, until := range tbl.denied {
-		if !now.Before(until) {
+	for key, den := range tbl.denied {
+		if !now.Before(den.until) {
 			delete(tbl.denied, key)
 		}
 	}
--- a/core/flows/upstream.go
+++ b/core/flows/upstream.go
@@ -117,11 +117,11 @@
 		tbl.endFlow(key, rec, pkt, now)
 	case trying:
 		tbl.remove(key, now)
-		tbl.markDenied(key, now)
+		tbl.markTried(key, now)
 		if !rec.trialOfData {
 			raw = nil
 		}
-		tbl.notify(balancer, encap.New(encap.Absent, tbl.service, key), raw, now)
+		tbl.notify(balancer, encap.New(encap.Absent, tbl.service, key).WithSeq(tbl.denialSeq(key, now)), raw, now)
 	case open:
 		tbl.endFlow(key, rec, pkt, now)
 	case closed:
--- a/core/track/candidates.go
+++ b/core/track/candidates.go
@@ -20,12 +20,16 @@
 		agts = append(agts, tbl.fleet.Service(name)...)
 	}
 	if len(agts) > firstRoundAgents {
-		hash := picker.FlowHash(key)
-		sort.Slice(agts, func(i, j int) bool { return picker.Score(hash, agts[i].IP()) > picker.Score(hash, agts[j].IP()) })
+		sortByScore(agts, picker.FlowHash(key))
 	}
 	return agts
 }
 
+// sortByScore sorts agents by rendezvous hashing, in the same order at every balancer.
+func sortByScore(agts []*fleet.Agent, hash uint64) {
+	sort.Slice(agts, func(i, j int) bool { return picker.Score(hash, agts[i].IP()) > picker.Score(hash, agts[j].IP()) })
+}
+
 // candidates returns the agents that the current search queries about a flow.
 func (tbl *Table) candidates(key flow.Key, ent *entry) []*fleet.Agent {
 	if ent.search.allServices {
--- a/core/track/search.go
+++ b/core/track/search.go
@@ -40,7 +40,7 @@
 	case encap.Held:
 		tbl.handleHeld(key, ent, hdr, from)
 	case encap.Absent:
-		tbl.handleAbsent(key, ent, raw, from, now)
+		tbl.handleAbsent(key, ent, hdr, raw, from, now)
 	case encap.Unsure:
 		tbl.handleUnsure(key, ent, hdr, from, now)
 	case encap.Gone:
@@ -76,6 +76,7 @@
 	lostTries   [][4]byte // Agents that did not answer a try; each gets one more.
 	tryingAgent [4]byte   // The agent that has been sent the packet and has not answered; zero if none.
 	tryCount    int       // Tries sent in this search.
+	tried       []trial   // Tries of this balancer, and those that others have or may have sent.
 	giveUpAt    time.Time
 }
 
@@ -161,13 +162,14 @@
 // even if no process is left that knows when.
 func (tbl *Table) handleUnsure(key flow.Key, ent *entry, hdr encap.Header, from [4]byte, now time.Time) {
 	sch := &ent.search
-	if agt := tbl.fleet.Agent(from); hdr.Seq() == encap.ServesAddress && agt != nil && agt.ServiceID() == hdr.Service() {
+	if agt := tbl.fleet.Agent(from); hdr.ServesAddress() && agt != nil && agt.ServiceID() == hdr.Service() {
 		tbl.tracker.NoteServed(key.Service(), agt.Upstream().Service(), now)
 	}
 	if ent.phase != searching || sch.tryingAgent == from || slices.Contains(sch.unsure, from) {
 		return
 	}
 	sch.unsure = append(sch.unsure, from)
+	sch.noteTrial(from, now.Add(-hdr.Uptime())) // The agent's predecessor may have tried the flow until then.
 	tbl.continueSearch(key, ent, now)
 }
 
@@ -231,7 +233,7 @@
 
 // handleAbsent handles an agent's answer that it does not hold a flow. For an open
 // flow, whose packet the agent returned, a search starts.
-func (tbl *Table) handleAbsent(key flow.Key, ent *entry, raw []byte, from [4]byte, now time.Time) {
+func (tbl *Table) handleAbsent(key flow.Key, ent *entry, hdr encap.Header, raw []byte, from [4]byte, now time.Time) {
 	switch ent.phase {
 	case open:
 		if ent.holders[0].ip != from || len(raw) == 0 {
@@ -239,7 +241,9 @@
 		}
 		tbl.startSearch(key, ent, raw, HintWrong, now)
 		ent.search.denied = append(ent.search.denied, from)
+		ent.search.noteDenial(hdr, from, now)
 	case searching:
+		ent.search.noteDenial(hdr, from, now)
 		if !slices.Contains(ent.search.denied, from) {
 			ent.search.denied = append(ent.search.denied, from)
 		}
--- a/core/track/search_test.go
+++ b/core/track/search_test.go
@@ -93,7 +93,7 @@
 	fix := newFixtureAfterMove(start)
 	fix.sendData(1, start)
 	fix.deny(start, 2)
-	unsure := encap.New(encap.Unsure, feedID, flowKey(1)).WithSeq(encap.ServesAddress)
+	unsure := encap.New(encap.Unsure, feedID, flowKey(1)).WithSeq(encap.UnsureSeq(true, time.Minute))
 	tried := sendActions(fix.receive(unsure, vmIP(1), start))
 	assert.Equal(t, len(tried), 1)
 	assert.Equal(t, tried[0].Agent(), vmIP(1))
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -19,16 +19,17 @@
 const (
 	searchInterval     = 100 * time.Millisecond // Initial interval between two rounds of queries about a flow.
 	searchTimeout      = 2500 * time.Millisecond
-	endedRetention     = 5 * time.Second  // How long an ended flow is remembered, to reset late packets.
-	rotateInterval     = 20 * time.Second // A hint that no packet uses is dropped after one to two intervals.
-	maxHints           = 200_000          // Hints of one generation: at most 30 MB.
-	maxHeldPackets     = 24               // Packets held while a flow is searched for; a client has up to 16 in flight.
-	maxPendingFlows    = 4096             // Unknown flows' packets are dropped while so many flows are being opened or searched for.
-	firstRoundAgents   = 16               // Agents queried in the first round; all agents of a small service.
-	maxWidenedFleet    = 256              // Largest fleet, in agents, in which all may be queried about one flow: 4 KB of queries.
-	maxBlindTries      = 2                // Tries sent while an agent has not answered; if that agent holds the flow, it breaks when a third packet within 2 s reaches a wrong upstream and none reaches that agent.
-	startupTime        = 2 * time.Second  // For so long after its start, a balancer that found no older process does not limit tries, because flows are not yet established.
-	maxAttemptsPerCopy = 2                // Agents asked to open a flow for each copy of the opening, once one did not answer.
+	endedRetention     = 5 * time.Second         // How long an ended flow is remembered, to reset late packets.
+	rotateInterval     = 20 * time.Second        // A hint that no packet uses is dropped after one to two intervals.
+	maxHints           = 200_000                 // Hints of one generation: at most 30 MB.
+	maxHeldPackets     = 24                      // Packets held while a flow is searched for; a client has up to 16 in flight.
+	maxPendingFlows    = 4096                    // Unknown flows' packets are dropped while so many flows are being opened or searched for.
+	firstRoundAgents   = 16                      // Agents queried in the first round; all agents of a small service.
+	maxWidenedFleet    = 256                     // Largest fleet, in agents, in which all may be queried about one flow: 4 KB of queries.
+	maxBlindTries      = 2                       // Tries of all balancers within tryWindow while an agent that gets none may hold the flow: it breaks when a third packet within 2 s reaches a wrong upstream and none reaches that agent.
+	tryWindow          = 2200 * time.Millisecond // Covers these 2 s and the way of an agent's answer.
+	startupTime        = 2 * time.Second         // For so long after its start, a balancer that found no older process does not limit tries, because flows are not yet established.
+	maxAttemptsPerCopy = 2                       // Agents asked to open a flow for each copy of the opening, once one did not answer.
 )
 
 // phase is the state of a flow at this balancer.
--- a/core/track/table_test.go
+++ b/core/track/table_test.go
@@ -87,6 +87,12 @@
 	return fix.TakeActions()
 }
 
+// unsureAnswer is the answer of an agent that cannot tell whether its upstream holds
+// the test flow, and that has been running for long.
+func unsureAnswer() encap.Header {
+	return encap.New(encap.Unsure, feedID, flowKey(1)).WithSeq(encap.UnsureSeq(false, time.Minute))
+}
+
 func sendActions(acts []Action) []Action {
 	var sent []Action
 	for _, act := range acts {
@@ -254,7 +260,7 @@
 	fix := newFixture(5)
 	fix.sendData(1, start)
 	for num := range 4 {
-		fix.receive(encap.New(encap.Unsure, feedID, flowKey(1)), vmIP(num+1), start)
+		fix.receive(unsureAnswer(), vmIP(num+1), start)
 	}
 	tries := 0
 	play := func(now time.Time) {
@@ -273,7 +279,7 @@
 	assert.Equal(t, tries, maxBlindTries)
 	var last []Action
 	for num := range 5 {
-		last = fix.receive(encap.New(encap.Unsure, feedID, flowKey(1)), vmIP(num+1), start.Add(time.Second))
+		last = fix.receive(unsureAnswer(), vmIP(num+1), start.Add(time.Second))
 	}
 	assert.Equal(t, sendActions(last)[0].Header().Kind(), encap.Try) // Every agent has answered, so tries are no longer limited.
 }
@@ -284,7 +290,7 @@
 	fix := newFixture(3)
 	fix.sendData(1, start)
 	for num := range 2 {
-		fix.receive(encap.New(encap.Unsure, feedID, flowKey(1)), vmIP(num+1), start)
+		fix.receive(unsureAnswer(), vmIP(num+1), start)
 	}
 	fix.listUpstream(1, "other", 2)
 	acts := sendActions(fix.receive(encap.New(encap.Absent, feedID, flowKey(1)), vmIP(3), start))
--- a/core/track/try.go
+++ b/core/track/try.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"lagoondrum/core/encap"
+	"lagoondrum/core/fleet"
 	"lagoondrum/core/flow"
+	"lagoondrum/core/picker"
 )
 
 // tryNext sends the flow's first held packet to the next agent that cannot tell, and
@@ -17,25 +19,90 @@
 	if !tbl.servicesKnown(ent, now) && !tbl.startingUp(now) && tbl.widenSearch(key, ent, now) {
 		return true // Queries are harmless, but a packet at a wrong upstream may break the flow.
 	}
-	if sch.tryCount >= tbl.maxTries(key, ent, now) {
+	limit := tbl.maxTries(key, ent, now)
+	if sch.tryCount >= limit {
 		return false
 	}
 	sch.tryPhase = true
 	sch.tryingAgent = [4]byte{}
-	names := tbl.routeServices(key, ent)
-	for at, ip := range sch.unsure {
-		agt := tbl.fleet.Agent(ip)
-		if agt == nil || slices.Contains(sch.denied, ip) || !slices.Contains(names, agt.Upstream().Service()) {
-			continue
+	agt := tbl.nextTryAgent(key, ent, limit, now)
+	if agt == nil {
+		return false
+	}
+	ip := agt.IP()
+	sch.unsure = slices.DeleteFunc(sch.unsure, func(other [4]byte) bool { return other == ip })
+	sch.tryingAgent = ip
+	sch.tryCount++
+	sch.noteTrial(ip, now)
+	ent.deadline = now.Add(tbl.answers.timeout())
+	tbl.send(ip, encap.Try, agt.ServiceID(), key, ent.heldPackets[0])
+	return true
+}
+
+// nextTryAgent returns the agent that gets the next try, or nil. All balancers together
+// stay within the limit: agents tell of the others' tries, and while these are under
+// way all balancers prefer the same agents. An agent that has not answered, or that may
+// have been tried lately, keeps its place in this order.
+func (tbl *Table) nextTryAgent(key flow.Key, ent *entry, limit int, now time.Time) *fleet.Agent {
+	sch := &ent.search
+	unlimited := limit == math.MaxInt
+	if !unlimited && sch.recentTrials(now) >= limit {
+		return nil
+	}
+	agts := slices.Clone(tbl.routeAgents(key, ent))
+	sortByScore(agts, picker.FlowHash(key))
+	places := 0
+	for _, agt := range agts {
+		ip := agt.IP()
+		denied := slices.Contains(sch.denied, ip)
+		mayTry := unlimited || !sch.triedLately(ip, now) || slices.Contains(sch.lostTries, ip)
+		switch {
+		case places == limit:
+			return nil
+		case !denied && slices.Contains(sch.unsure, ip) && mayTry:
+			return agt
+		case sch.triedLately(ip, now), !denied && !agt.Dead(now):
+			places++
 		}
-		sch.unsure = slices.Delete(sch.unsure, at, at+1)
-		sch.tryingAgent = ip
-		sch.tryCount++
-		ent.deadline = now.Add(tbl.answers.timeout())
-		tbl.send(ip, encap.Try, agt.ServiceID(), key, ent.heldPackets[0])
-		return true
 	}
-	return false
+	return nil
+}
+
+// trial is a packet of the flow that an agent passed to its upstream on trial, or may
+// have passed.
+type trial struct {
+	agent [4]byte
+	at    time.Time
+}
+
+// noteTrial records a trial of the flow's packet.
+func (sch *search) noteTrial(ip [4]byte, at time.Time) {
+	sch.tried = append(sch.tried, trial{agent: ip, at: at})
+}
+
+// noteDenial records the trial that a denial tells of. It may be that of another
+// balancer.
+func (sch *search) noteDenial(hdr encap.Header, from [4]byte, now time.Time) {
+	if age, ok := hdr.Tried(); ok {
+		sch.noteTrial(from, now.Add(-age))
+	}
+}
+
+// recentTrials returns how many upstreams may have been tried lately.
+func (sch *search) recentTrials(now time.Time) int {
+	var ips [][4]byte
+	for _, trl := range sch.tried {
+		if !slices.Contains(ips, trl.agent) && sch.triedLately(trl.agent, now) {
+			ips = append(ips, trl.agent)
+		}
+	}
+	return len(ips)
+}
+
+// triedLately reports whether an agent's upstream may have got a packet on trial so
+// short a time ago that it counts with the next ones.
+func (sch *search) triedLately(ip [4]byte, now time.Time) bool {
+	return slices.ContainsFunc(sch.tried, func(trl trial) bool { return trl.agent == ip && now.Before(trl.at.Add(tryWindow)) })
 }
 
 // requeueLostTry schedules one more try at an agent that did not answer, because
@@ -49,7 +116,7 @@
 	sch.unsure = append(sch.unsure, ip)
 }
 
-// maxTries returns how many tries one search may send. They are unlimited if the
+// maxTries returns how many tries all balancers may send within tryWindow. They are unlimited if the
 // holder, if there is one, must be among the agents that can be sent the packet. If
 // another agent may hold the flow, too many tries would break it.
 func (tbl *Table) maxTries(key flow.Key, ent *entry, now time.Time) int {
