Answer queries that name a former service of the VM

Seen in the model only (TestPacketFlowsReachOwnersAndServicesAreIsolated): four packets of a flow reach wrong upstreams and none its own, while lists lag.

Cause: a balancer asked the owner's agent under the service that the VM's address had before. The agent answered absent for that service; the balancer took it for a denial of the flow and, as nobody else could tell, tried the packet at all other agents.

Change: an agent answers a query by its own table, and the answer names its own service.

--- a/core/flows/admission_test.go
+++ b/core/flows/admission_test.go
@@ -135,7 +135,7 @@
 	assertActionCount(t, tbl.TakeActions(), ToUpstream, 0)
 	assert.Equal(t, tbl.Queued(), 0)
 	list := encap.AppendQuery(nil, keyFor(9), 5001)
-	tbl.HandleQuery(encap.New(encap.Seek, service, flow.Key{}), list, balancer, start) // The upstream still holds the flow.
+	tbl.HandleQuery(list, balancer, start) // The upstream still holds the flow.
 	acts := tbl.TakeActions()
 	acts[0].Header().EachVerdict(acts[0].Packet(), func(hdr encap.Header) { assert.Equal(t, hdr.Kind(), encap.Held) })
 }
--- a/core/flows/balancer.go
+++ b/core/flows/balancer.go
@@ -18,17 +18,15 @@
 }
 
 // HandleQuery answers a balancer's query, which asks which flows of a list the
-// upstream holds.
-func (tbl *Table) HandleQuery(hdr encap.Header, list []byte, from flow.Endpoint, now time.Time) {
+// upstream holds. The answer names the upstream's service: the balancer may not know
+// yet that the VM's address has moved to it, and would take a denial for proof.
+func (tbl *Table) HandleQuery(list []byte, from flow.Endpoint, now time.Time) {
 	var verdicts []byte
 	encap.EachQuery(list, func(key flow.Key, ack uint32) {
-		knd, seq := encap.Absent, uint32(0)
-		if hdr.Service() == tbl.service {
-			knd, seq = tbl.verdict(key, ack, from, now)
-		}
+		knd, seq := tbl.verdict(key, ack, from, now)
 		verdicts = encap.AppendVerdict(verdicts, key, knd, seq)
 	})
-	tbl.notify(from, encap.New(encap.Verdicts, hdr.Service(), flow.Key{}), verdicts, now)
+	tbl.notify(from, encap.New(encap.Verdicts, tbl.service, flow.Key{}), verdicts, now)
 }
 
 // verdict answers whether the upstream holds one flow.
--- a/core/flows/table_test.go
+++ b/core/flows/table_test.go
@@ -164,7 +164,7 @@
 		assertTried(t, lastHeader(tbl), 0)
 		sendFromClient(tbl, encap.Try, 5001, start.Add(time.Second))
 		assertTried(t, lastHeader(tbl), time.Second)
-		tbl.HandleQuery(encap.New(encap.Seek, service, flow.Key{}), encap.AppendQuery(nil, key, 5001), balancer, start.Add(2*time.Second))
+		tbl.HandleQuery(encap.AppendQuery(nil, key, 5001), balancer, start.Add(2*time.Second))
 		acts := tbl.TakeActions()
 		acts[0].Header().EachVerdict(acts[0].Packet(), func(hdr encap.Header) { assertTried(t, hdr, 2*time.Second) })
 	})
@@ -191,6 +191,17 @@
 	})
 }
 
+// Guards against a flow that is tried at other upstreams, because a balancer asked its
+// agent under the service that the VM's address had before, and took the answer for a
+// denial.
+func TestQueryOfALaggingBalancerIsAnswered(t *testing.T) {
+	tbl := newTableWithHalfOpenFlow(t)
+	tbl.HandleQuery(encap.AppendQuery(nil, key, 5001), balancer, start)
+	acts := tbl.TakeActions()
+	assert.Equal(t, acts[0].Header().Service(), service)
+	acts[0].Header().EachVerdict(acts[0].Packet(), func(hdr encap.Header) { assert.Equal(t, hdr.Kind(), encap.Held) })
+}
+
 // lastHeader returns the header of the table's last action.
 func lastHeader(tbl *Table) encap.Header {
 	acts := tbl.TakeActions()
@@ -207,7 +218,7 @@
 
 // verdictOf returns the answer to a balancer's query about the test flow.
 func verdictOf(tbl *Table, now time.Time) encap.Kind {
-	tbl.HandleQuery(encap.New(encap.Seek, service, flow.Key{}), encap.AppendQuery(nil, key, 5001), balancer, now)
+	tbl.HandleQuery(encap.AppendQuery(nil, key, 5001), balancer, now)
 	acts := tbl.TakeActions()
 	last := acts[len(acts)-1]
 	var knd encap.Kind
@@ -263,7 +274,7 @@
 			tbl.SetService(tc.service)
 			tbl.TakeActions()
 			list := encap.AppendQuery(nil, keyFor(9), 5001)
-			tbl.HandleQuery(encap.New(encap.Seek, tc.service, flow.Key{}), list, balancer, start.Add(time.Second))
+			tbl.HandleQuery(list, balancer, start.Add(time.Second))
 			acts := tbl.TakeActions()
 			acts[0].Header().EachVerdict(acts[0].Packet(), func(hdr encap.Header) {
 				assert.Equal(t, hdr.Kind(), encap.Unsure)
--- a/core/model/packets_sim_test.go
+++ b/core/model/packets_sim_test.go
@@ -437,7 +437,7 @@
 		hdr = encap.New(hdr.Kind(), vm.table.Service(), hdr.Key()).WithSeq(hdr.Seq())
 	}
 	if hdr.Kind() == encap.Seek {
-		vm.table.HandleQuery(hdr, sim.queries(vm, raw), from, sim.now)
+		vm.table.HandleQuery(sim.queries(vm, raw), from, sim.now)
 		sim.runAgentActions(idx)
 		return
 	}
--- a/core/simul/overload_upstream.go
+++ b/core/simul/overload_upstream.go
@@ -77,7 +77,7 @@
 	}
 	from := flow.NewEndpoint([4]byte{10, 0, 0, byte(balancer + 1)}, loadBalancerPort)
 	if hdr.Kind() == encap.Seek {
-		ups.table.HandleQuery(hdr, payload, from, run.Now())
+		ups.table.HandleQuery(payload, from, run.Now())
 	} else {
 		ups.table.HandleBalancerPacket(hdr, run.decode(payload), payload, from, run.Now())
 	}
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -285,7 +285,7 @@
 		return
 	}
 	if hdr.Kind() == encap.Seek {
-		agt.table.HandleQuery(hdr, payload, flow.EndpointOf(from), now)
+		agt.table.HandleQuery(payload, flow.EndpointOf(from), now)
 		agt.perform(now)
 		return
 	}
