Merge histories of routes only where they join

Cause: the balancer merged the history of an agent whose state was from before the move. There the former service was still the present one, so it was in no list, and the history still counted as complete.

Change: a replica keeps the revision from which on it has seen every state. It asks no peer with an older one for its history and merges nothing from it.

Before: TestHistoryOfALaggingPeerIsNotMerged failed.

--- a/io/gossip/pull.go
+++ b/io/gossip/pull.go
@@ -27,7 +27,7 @@
 		if revision == rep.mirror.Revision() {
 			rep.policy.NoteConfirmed(clm.ConfirmedAt())
 		}
-		if revision > 0 && rep.historyRequests < maxHistoryRequests && !rep.pulling {
+		if revision > 0 && revision >= rep.firstRevision && rep.historyRequests < maxHistoryRequests && !rep.pulling {
 			rep.historyRequests++
 			rep.pulling = true
 			go rep.mergeHistory(from, revision)
--- a/io/gossip/replica.go
+++ b/io/gossip/replica.go
@@ -73,6 +73,7 @@
 	pulling         bool
 	source          netip.AddrPort // The peer that pull fetches from.
 	sourceRevision  uint64         // Revision that source reported.
+	firstRevision   uint64         // Every state from this revision on has been seen.
 	historyRequests int            // Requests for former routes so far, or maxHistoryRequests when the history is complete.
 	apply           Apply
 	calls           uint64
@@ -187,6 +188,10 @@
 func (rep *Replica) adoptFromPeer(upd update, now time.Time) {
 	rep.applyMu.Lock()
 	defer rep.applyMu.Unlock()
+	if upd.revision < rep.seenSince() {
+		rep.log.Info("state of a peer is older than the first one here", zap.Uint64("revision", upd.revision))
+		return // States between the two may have been missed, so the histories do not join.
+	}
 	covered := rep.ConfirmedAt()
 	rep.adopt(upd, Told{history: upd.history, completeUntil: covered}, now)
 	rep.mu.Lock()
@@ -207,6 +212,26 @@
 	}
 }
 
+// seenSince returns the revision from which on the replica has seen every state.
+func (rep *Replica) seenSince() uint64 {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	return rep.firstRevision
+}
+
+// continues reports whether an update continues the states that the replica has seen
+// before. covered is the time until which it has missed none.
+func continues(org Origin, covered time.Time) bool {
+	switch src := org.(type) {
+	case Read:
+		return false
+	case Told:
+		return !src.history.Since().After(covered)
+	default:
+		return true
+	}
+}
+
 // adopt applies an update to the mirror and passes the new items to apply. applyMu
 // is held.
 func (rep *Replica) adopt(upd update, org Origin, now time.Time) {
@@ -220,6 +245,9 @@
 	}
 	revision := rep.mirror.Revision()
 	advanced := revision != before
+	if before == 0 || advanced && !continues(org, rep.policy.ConfirmedAt()) {
+		rep.firstRevision = revision
+	}
 	rep.mu.Unlock()
 	if _, fromPeer := org.(Told); fromPeer || advanced || len(applied) > 0 {
 		rep.apply(News{items: applied, origin: org, revision: revision}, now)
--- a/io/gossip/replica_test.go
+++ b/io/gossip/replica_test.go
@@ -86,7 +86,7 @@
 
 func newReplica(sto Store) (*Replica, *recorder) {
 	rep := New(sto, func(err error) bool { return errors.Is(err, errHistoryLost) }, [4]byte{127, 0, 0, 1}, true, false, nil, maxAge, zap.NewNop())
-	rec := &recorder{}
+	rec := &recorder{history: intent.NewHistory(time.Now(), nil)}
 	rep.OnChange(rec.record, rec)
 	return rep, rec
 }
@@ -126,6 +126,45 @@
 	assert.Equal(t, behind.ConfirmedAt(), now)
 }
 
+// Guards against a process that takes its history of routes for complete, although a
+// route moved after the state of the peer that sent it and before its own first one.
+func TestHistoryOfALaggingPeerIsNotMerged(t *testing.T) {
+	now := time.Now()
+	long := intent.NewHistory(now.Add(-time.Hour), nil)
+	for name, tc := range map[string]struct {
+		revision uint64 // Of the peer; that of the process is 7 since its start.
+		merged   bool
+	}{
+		"older than the own first state": {6, false},
+		"not older":                      {7, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			peer, past := newReplica(&fakeStore{})
+			past.history = long
+			peer.adoptFromPlatform(update{revision: tc.revision, full: true}, now)
+			srv := httptest.NewServer(http.HandlerFunc(peer.ServeHTTP))
+			defer srv.Close()
+			from := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
+			rep, rec := newReplica(&fakeStore{})
+			rep.adoptFromPlatform(update{revision: 7, full: true}, now)
+			rep.Heard(from, false, mirror.NewClaims(now, true, false, false), tc.revision, now)
+			for deadline := now.Add(10 * time.Second); rep.busy(); time.Sleep(time.Millisecond) {
+				assert.Assert(t, time.Now().Before(deadline))
+			}
+			assert.Equal(t, rec.History(now).Complete(now), tc.merged)
+			rep.adoptFromPeer(update{revision: tc.revision, history: long}, now)
+			assert.Equal(t, rec.History(now).Complete(now), tc.merged)
+		})
+	}
+}
+
+// busy reports whether the replica is fetching from a peer.
+func (rep *Replica) busy() bool {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	return rep.pulling
+}
+
 func TestBadRequestsAndMessages(t *testing.T) {
 	rep, _ := newReplica(&fakeStore{})
 	rec := httptest.NewRecorder()
