--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -130,8 +130,8 @@
 
 // startedLater reports whether ups started after old; equal starts are ordered by ID.
 func (ups *Upstream) startedLater(old *Upstream) bool {
-	if ups.startMillis != old.startMillis {
-		return ups.startMillis > old.startMillis
+	if ups.start() != old.start() {
+		return ups.start() > old.start()
 	}
 	return ups.id > old.id
 }
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -75,6 +75,17 @@
 	}
 }
 
+// Guards against an entry of another writer that keeps an address for ever, because no
+// successor can have started later.
+func TestStartFarInTheFutureTakesNoAddress(t *testing.T) {
+	flt := New()
+	putUpstream(flt, "foreign", "upload", 1, false, start.Add(2*maxClockLead).UnixMilli())
+	putUpstream(flt, "a", "feed", 1, false, start.UnixMilli())
+	assertServes(t, flt, "feed", "a")
+	putUpstream(flt, "b", "feed", 1, false, start.Add(maxClockLead/2).UnixMilli())
+	assertServes(t, flt, "feed", "b")
+}
+
 // Flows of a service that is no longer named may still be open.
 func TestUpstreamOfAFormerServiceIsKept(t *testing.T) {
 	flt := New()
--- a/core/fleet/upstream.go
+++ b/core/fleet/upstream.go
@@ -73,6 +73,18 @@
 	return ups.startMillis > when.UnixMilli() && ups.startMillis <= ups.seenAt.UnixMilli()
 }
 
+// maxClockLead is how far the clock of an upstream's VM may be ahead.
+const maxClockLead = time.Hour
+
+// start returns the upstream's start, or 0 if it is unknown or farther in the future
+// than clocks differ.
+func (ups *Upstream) start() int64 {
+	if ups.startMillis > ups.seenAt.Add(maxClockLead).UnixMilli() {
+		return 0
+	}
+	return ups.startMillis
+}
+
 // sameIncarnation reports whether two entries describe one run of an upstream.
 func (ups *Upstream) sameIncarnation(other *Upstream) bool {
 	return ups.id == other.id && ups.service == other.service && ups.startMillis == other.startMillis
--- a/io/carry/world_test.go
+++ b/io/carry/world_test.go
@@ -229,8 +229,9 @@
 	}
 }
 
-func newSettings(t *testing.T, num int, sto *storeStandIn, service string) *conf.Settings {
-	t.Helper()
+// settingsText returns the settings file of a process, with the peer addresses of its
+// seeds.
+func settingsText(num int, sto *storeStandIn, service string, seeds ...string) string {
 	text := fmt.Sprintf(`[process]
 name = vm%d
 zone = z
@@ -238,6 +239,7 @@
 fabric = packets
 [peer]
 address = %s
+seeds = %s
 [platform]
 address = %s
 [packets]
@@ -246,11 +248,16 @@
 ready = %s
 metrics = %s
 graceSeconds = 3
-`, num, vmAddr(num, peerPort), sto.addr(), vmAddr(num, packetPort), vmAddr(num, outboundPort), vmAddr(num, readyPort), vmAddr(num, readyPort+1))
+`, num, vmAddr(num, peerPort), strings.Join(seeds, ","), sto.addr(), vmAddr(num, packetPort), vmAddr(num, outboundPort), vmAddr(num, readyPort), vmAddr(num, readyPort+1))
 	if service != "" {
 		text += fmt.Sprintf("[upstream]\naddress = %s\nservice = %s\n", vmAddr(num, upstreamPort), service)
 	}
-	set, err := conf.Parse("test", []byte(text))
+	return text
+}
+
+func newSettings(t *testing.T, num int, sto *storeStandIn, service string) *conf.Settings {
+	t.Helper()
+	set, err := conf.Parse("test", []byte(settingsText(num, sto, service)))
 	assert.NilError(t, err)
 	return set
 }
