Stop probing paths of a connection that was closed

Cause: after monitorPath had closed the connection it went on to a select in which both the end of the connection and a tick were ready, as the probe before had taken five ticks; every second time it opened and probed another path. The test saw that only when it read the count late.

Change: monitorPath ends when it has closed the connection.

--- a/io/caller/link.go
+++ b/io/caller/link.go
@@ -174,8 +174,10 @@
 				failed = 0
 			case errors.Is(err, errProbeUnsent):
 				_ = acn.conn.CloseWithError(0, "path is silent and full")
+				return // A tick may be due as well, and a select would choose between the two.
 			case failed >= maxFailedMigrations:
 				_ = acn.conn.CloseWithError(0, "path is silent")
+				return
 			}
 		}
 	}
--- a/io/caller/link_test.go
+++ b/io/caller/link_test.go
@@ -142,11 +142,30 @@
 func TestFullSilentPathEndsItsConnectionAtOnce(t *testing.T) {
 	dlr := &lossyDialer{}
 	acn := dialTestServer(t, dlr)
+	fillSilentPath(t, dlr, acn)
+	assert.Equal(t, len(acn.failedPaths), 1)
+}
+
+// Guards against another probe after the connection was closed, which a tick that was
+// due at the same time caused in every second run.
+func TestClosedConnectionIsNotProbed(t *testing.T) {
+	dlr := &lossyDialer{}
+	acn := dialTestServer(t, dlr)
+	fillSilentPath(t, dlr, acn)
+	time.Sleep(3 * pathCheckInterval)
+	acn.mu.Lock()
+	defer acn.mu.Unlock()
+	assert.Equal(t, len(acn.failedPaths), 1)
+}
+
+// fillSilentPath uploads over a path that loses everything, until the connection is
+// closed.
+func fillSilentPath(t *testing.T, dlr *lossyDialer, acn *agentConn) {
+	t.Helper()
 	dlr.conns[0].lossy.Store(true)
 	body := strings.NewReader(strings.Repeat("b", 1<<20))
 	req, err := http.NewRequest(http.MethodPost, "https://service/", body)
 	assert.NilError(t, err)
 	_, err = acn.http.RoundTrip(req)
 	assert.ErrorContains(t, err, "full")
-	assert.Equal(t, len(acn.failedPaths), 1)
 }
