Spare the order of agents where tries are not limited

The choice of an agent for a try sorted the agents each time, also where the holder must be among those that can be tried. After a kill of every process nearly all flows are found by such tries; at 109 agents of a service each would have cost a second sort. Only limited tries follow the common order now, and a search keeps one trial for each agent. By reading, not by a profile.

--- a/core/track/try.go
+++ b/core/track/try.go
@@ -39,29 +39,42 @@
 	return true
 }
 
-// nextTryAgent returns the agent that gets the next try, or nil. All balancers together
-// stay within the limit: agents tell of the others' tries, and while these are under
-// way all balancers prefer the same agents. An agent that has not answered, or that may
-// have been tried lately, keeps its place in this order.
+// nextTryAgent returns the agent that gets the next try, or nil.
 func (tbl *Table) nextTryAgent(key flow.Key, ent *entry, limit int, now time.Time) *fleet.Agent {
+	if limit != math.MaxInt {
+		return tbl.nextBlindTryAgent(key, ent, limit, now)
+	}
+	names := tbl.routeServices(key, ent)
+	for _, ip := range ent.search.unsure {
+		if agt := tbl.fleet.Agent(ip); agt != nil && !slices.Contains(ent.search.denied, ip) && slices.Contains(names, agt.Upstream().Service()) {
+			return agt
+		}
+	}
+	return nil
+}
+
+// nextBlindTryAgent returns the agent that gets the next try while the holder may be
+// elsewhere. All balancers together stay within the limit: agents tell of the others'
+// tries, and while these are under way all balancers prefer the same agents. An agent
+// that has not answered, or that may have been tried lately, keeps its place in this
+// order.
+func (tbl *Table) nextBlindTryAgent(key flow.Key, ent *entry, limit int, now time.Time) *fleet.Agent {
 	sch := &ent.search
-	unlimited := limit == math.MaxInt
-	if !unlimited && sch.recentTrials(now) >= limit {
+	if sch.recentTrials(now) >= limit {
 		return nil
 	}
-	agts := slices.Clone(tbl.routeAgents(key, ent))
+	agts := tbl.routeAgents(key, ent)
 	sortByScore(agts, picker.FlowHash(key))
 	places := 0
 	for _, agt := range agts {
 		ip := agt.IP()
-		denied := slices.Contains(sch.denied, ip)
-		mayTry := unlimited || !sch.triedLately(ip, now) || slices.Contains(sch.lostTries, ip)
+		denied, tried := slices.Contains(sch.denied, ip), sch.triedLately(ip, now)
 		switch {
 		case places == limit:
 			return nil
-		case !denied && slices.Contains(sch.unsure, ip) && mayTry:
+		case !denied && slices.Contains(sch.unsure, ip) && (!tried || slices.Contains(sch.lostTries, ip)):
 			return agt
-		case sch.triedLately(ip, now), !denied && !agt.Dead(now):
+		case tried, !denied && !agt.Dead(now):
 			places++
 		}
 	}
@@ -75,9 +88,15 @@
 	at    time.Time
 }
 
-// noteTrial records a trial of the flow's packet.
+// noteTrial records a trial of the flow's packet. Only the last one of an agent counts.
 func (sch *search) noteTrial(ip [4]byte, at time.Time) {
-	sch.tried = append(sch.tried, trial{agent: ip, at: at})
+	known := slices.IndexFunc(sch.tried, func(trl trial) bool { return trl.agent == ip })
+	switch {
+	case known < 0:
+		sch.tried = append(sch.tried, trial{agent: ip, at: at})
+	case at.After(sch.tried[known].at):
+		sch.tried[known].at = at
+	}
 }
 
 // noteDenial records the trial that a denial tells of. It may be that of another
@@ -90,21 +109,24 @@
 
 // recentTrials returns how many upstreams may have been tried lately.
 func (sch *search) recentTrials(now time.Time) int {
-	var ips [][4]byte
+	count := 0
 	for _, trl := range sch.tried {
-		if !slices.Contains(ips, trl.agent) && sch.triedLately(trl.agent, now) {
-			ips = append(ips, trl.agent)
+		if trl.countsAt(now) {
+			count++
 		}
 	}
-	return len(ips)
+	return count
 }
 
-// triedLately reports whether an agent's upstream may have got a packet on trial so
-// short a time ago that it counts with the next ones.
+// triedLately reports whether an agent's upstream may have been tried lately.
 func (sch *search) triedLately(ip [4]byte, now time.Time) bool {
-	return slices.ContainsFunc(sch.tried, func(trl trial) bool { return trl.agent == ip && now.Before(trl.at.Add(tryWindow)) })
+	return slices.ContainsFunc(sch.tried, func(trl trial) bool { return trl.agent == ip && trl.countsAt(now) })
 }
 
+// countsAt reports whether a trial was so short a time ago that it counts with the next
+// ones.
+func (trl trial) countsAt(now time.Time) bool { return now.Before(trl.at.Add(tryWindow)) }
+
 // requeueLostTry schedules one more try at an agent that did not answer, because
 // the try or its answer may have been lost. Agents without a try come first.
 func (sch *search) requeueLostTry() {
@@ -116,9 +138,9 @@
 	sch.unsure = append(sch.unsure, ip)
 }
 
-// maxTries returns how many tries all balancers may send within tryWindow. They are unlimited if the
-// holder, if there is one, must be among the agents that can be sent the packet. If
-// another agent may hold the flow, too many tries would break it.
+// maxTries returns how many tries all balancers may send within tryWindow. They are
+// unlimited if the holder, if there is one, must be among the agents that can be sent
+// the packet. If another agent may hold the flow, too many tries would break it.
 func (tbl *Table) maxTries(key flow.Key, ent *entry, now time.Time) int {
 	switch {
 	case !tbl.allAnswered(key, ent, now):
