--- a/core/mirror/policy_test.go
+++ b/core/mirror/policy_test.go
@@ -81,7 +81,7 @@
 // other, until the heartbeats of other readers reach them.
 func TestBackupReadersTakeOver(t *testing.T) {
 	assert.Equal(t, readersOf(59, freshFor-time.Millisecond, none, none), 3) // The seeds, which keep trying.
-	first := readersOf(59, freshFor+overdueAfter/staggerSlots/4, none, none)
+	first := readersOf(59, freshFor+(overdueAfter-freshFor)/staggerSlots, none, none)
 	assert.Assert(t, first > 3 && first < 20, first)
 	assert.Equal(t, readersOf(59, overdueAfter, none, none), 59)
 
--- a/io/gossip/replica_test.go
+++ b/io/gossip/replica_test.go
@@ -184,7 +184,7 @@
 		stale     bool
 	}{
 		"seed up to date": {0, 7, false},
-		"seed stale":      {maxAge, 0, true},
+		"seed stale":      {maxAge * 6 / 10, 0, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Now()
