--- a/core/encap/header.go
+++ b/core/encap/header.go
@@ -52,10 +52,12 @@
 	Silent              // The upstream did not answer in time.
 	Bounced             // The upstream returned the opening packet.
 	Full                // The upstream has no free slot, or none will be free in time.
+	Evacuated           // The upstream's availability zone is evacuated.
+	ColdLimit           // The upstream has just started and has got as many openings as it bears.
 	reasonEnd
 )
 
-var reasonNames = [...]string{"none", "otherService", "leaving", "down", "silent", "bounced", "full"}
+var reasonNames = [...]string{"none", "otherService", "leaving", "down", "silent", "bounced", "full", "evacuated", "coldLimit"}
 
 // String returns the reason's name in logs and metrics.
 func (rsn Reason) String() string { return reasonNames[rsn] }
--- a/core/fleet/agent.go
+++ b/core/fleet/agent.go
@@ -107,15 +107,44 @@
 	}
 }
 
-// Usable reports whether the agent may get new flows at all.
-func (agt *Agent) Usable() bool {
-	return !agt.upstream.draining && !agt.leaving && !agt.down
+// Exclusion is why an agent gets no new flows.
+type Exclusion uint8
+
+// The exclusions.
+const (
+	NotExcluded  Exclusion = iota
+	Draining               // The upstream's entry says that it drains.
+	Leaving                // The agent said that it stops.
+	UpstreamDown           // The agent said that its upstream does not run.
+	exclusionEnd
+)
+
+var exclusionNames = [exclusionEnd]string{"none", "draining", "leaving", "upstreamDown"}
+
+// String returns the exclusion's name in logs.
+func (exc Exclusion) String() string { return exclusionNames[exc] }
+
+// Exclusion returns why the agent gets no new flows, NotExcluded if it may get some.
+func (agt *Agent) Exclusion(_ time.Time) Exclusion {
+	switch {
+	case agt.upstream.draining:
+		return Draining
+	case agt.leaving:
+		return Leaving
+	case agt.down:
+		return UpstreamDown
+	default:
+		return NotExcluded
+	}
 }
 
+// Usable reports whether the agent may get new flows at all.
+func (agt *Agent) Usable(now time.Time) bool { return agt.Exclusion(now) == NotExcluded }
+
 // Healthy reports whether the agent is usable, answers in time, is not avoided
 // after an unanswered opening and does not restart.
 func (agt *Agent) Healthy(now time.Time) bool {
-	return agt.Usable() && !agt.UnansweredFor(unansweredLimit, now) && !now.Before(agt.avoidUntil) && !now.Before(agt.restartUntil)
+	return agt.Usable(now) && !agt.UnansweredFor(unansweredLimit, now) && !now.Before(agt.avoidUntil) && !now.Before(agt.restartUntil)
 }
 
 // UnansweredFor reports whether the agent has left a message unanswered for
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -156,7 +156,7 @@
 			agt := flt.Agent([4]byte{10, 0, 0, 1})
 			tc.event(agt)
 			now := start.Add(2 * time.Second)
-			assert.Equal(t, agt.Usable(), tc.usable)
+			assert.Equal(t, agt.Usable(now), tc.usable)
 			assert.Equal(t, agt.Healthy(now), tc.sound)
 			assert.Equal(t, !agt.Dead(now), tc.alive)
 		})
--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -86,6 +86,7 @@
 	version     uint64
 	routes      map[flow.Endpoint]*Route
 	services    map[string]bool
+	coldRates   map[string]float64 // Openings a second that a cold upstream of a service bears.
 	idleTimeout time.Duration
 }
 
@@ -109,6 +110,20 @@
 	return stt
 }
 
+// WithColdRate sets how many openings a second an upstream of a service bears while it
+// is cold, and returns the state.
+func (stt *State) WithColdRate(service string, perSecond float64) *State {
+	if stt.coldRates == nil {
+		stt.coldRates = make(map[string]float64)
+	}
+	stt.coldRates[service] = perSecond
+	return stt
+}
+
+// ColdRate returns how many openings a second an upstream of a service bears while it
+// is cold, 0 when the state sets no limit.
+func (stt *State) ColdRate(service string) float64 { return stt.coldRates[service] }
+
 // NamesService reports whether the state names a service.
 func (stt *State) NamesService(name string) bool { return stt.services[name] }
 
--- a/core/picker/place.go
+++ b/core/picker/place.go
@@ -29,57 +29,77 @@
 	return xxhash.Sum64(buf[:])
 }
 
+// Chooser chooses upstreams for the new flows of a balancer.
+type Chooser struct {
+	zone string
+}
+
+// New returns the chooser of a balancer in an availability zone.
+func New(zone string) *Chooser { return &Chooser{zone: zone} }
+
 // Choose returns the agent with the lowest cost for a new flow among those not
 // tried yet, or nil when there is none. The cost weighs the load against the price
 // of another availability zone. Every answer of an agent carries a load report;
 // openings sent since the last report are added to it.
-func Choose(agents []*fleet.Agent, tried func([4]byte) bool, hash uint64, zone string, now time.Time) *fleet.Agent {
+func (chs *Chooser) Choose(agents []*fleet.Agent, tried func([4]byte) bool, hash uint64, now time.Time) *fleet.Agent {
 	var best *fleet.Agent
 	var lowest float64
-	for _, agt := range topCandidates(agents, hash) {
-		if !agt.Usable() || tried(agt.IP()) {
+	for _, agt := range topCandidates(agents, hash, now) {
+		if !agt.Usable(now) || tried(agt.IP()) {
 			continue
 		}
-		if cost := costOf(agt, hash, zone, now); best == nil || cost < lowest {
+		if cost := chs.CostOf(agt, hash, now).Total(); best == nil || cost < lowest {
 			best, lowest = agt, cost
 		}
 	}
 	if best == nil && len(agents) > maxCandidates {
-		return firstUsable(agents, tried)
+		return firstUsable(agents, tried, now)
 	}
 	return best
 }
 
-// costOf returns the cost of giving an agent a new flow.
-func costOf(agt *fleet.Agent, hash uint64, zone string, now time.Time) float64 {
+// Cost is what giving an agent a new flow costs, by its causes.
+type Cost struct {
+	Load    float64 // Requests and flows for each slot, more for a cold upstream.
+	Zone    float64 // Another availability zone.
+	Unheard float64 // The agent was never heard.
+	Suspect float64 // The agent or its upstream is suspect.
+	Jitter  float64 // Differs between flows, so that equal agents share them.
+}
+
+// Total returns the sum by which agents are compared.
+func (cst Cost) Total() float64 { return cst.Load + cst.Zone + cst.Unheard + cst.Suspect + cst.Jitter }
+
+// CostOf returns the cost of giving an agent a new flow.
+func (chs *Chooser) CostOf(agt *fleet.Agent, hash uint64, now time.Time) Cost {
 	ups := agt.Upstream()
 	load := agt.Load().Requests() + requestsPerFlow*float64(agt.Load().Flows()) + float64(agt.PendingOpenings())
-	cost := (load + 1) / float64(ups.Slots())
+	cst := Cost{Load: (load + 1) / float64(ups.Slots()), Jitter: jitterWeight * unitHash(hash, ups.Address())}
 	if ups.Cold(now) {
-		cost *= coldFactor
+		cst.Load *= coldFactor
 	}
-	if ups.Zone() != zone {
-		cost += remoteZonePenalty
+	if ups.Zone() != chs.zone {
+		cst.Zone = remoteZonePenalty
 	}
 	if agt.HeardAt().IsZero() {
-		cost += unheardPenalty
+		cst.Unheard = unheardPenalty
 	}
 	if !agt.Healthy(now) {
-		cost += suspectPenalty
+		cst.Suspect = suspectPenalty
 	}
-	return cost + jitterWeight*unitHash(hash, ups.Address())
+	return cst
 }
 
 // topCandidates returns the usable agents with the highest scores for a flow, or
 // all agents of a small service.
-func topCandidates(agents []*fleet.Agent, hash uint64) []*fleet.Agent {
+func topCandidates(agents []*fleet.Agent, hash uint64, now time.Time) []*fleet.Agent {
 	if len(agents) <= maxCandidates {
 		return agents
 	}
 	var top [maxCandidates]*fleet.Agent
 	var scores [maxCandidates]uint64
 	for _, agt := range agents {
-		if !agt.Usable() {
+		if !agt.Usable(now) {
 			continue
 		}
 		score := Score(hash, agt.IP())
@@ -101,9 +121,9 @@
 }
 
 // firstUsable returns the first usable agent that was not tried yet.
-func firstUsable(agents []*fleet.Agent, tried func([4]byte) bool) *fleet.Agent {
+func firstUsable(agents []*fleet.Agent, tried func([4]byte) bool, now time.Time) *fleet.Agent {
 	for _, agt := range agents {
-		if agt.Usable() && !tried(agt.IP()) {
+		if agt.Usable(now) && !tried(agt.IP()) {
 			return agt
 		}
 	}
--- a/core/picker/place_test.go
+++ b/core/picker/place_test.go
@@ -42,7 +42,7 @@
 }
 
 func choose(flt *fleet.Fleet, hash uint64, tried func([4]byte) bool) *fleet.Agent {
-	return Choose(flt.Service("feed"), tried, hash, "near", start)
+	return New("near").Choose(flt.Service("feed"), tried, hash, start)
 }
 
 func TestChoose(t *testing.T) {
--- a/core/track/opening.go
+++ b/core/track/opening.go
@@ -78,7 +78,7 @@
 }
 
 func (tbl *Table) chooseAgent(ent *entry, now time.Time) *fleet.Agent {
-	return picker.Choose(tbl.fleet.Service(ent.service), ent.attempted, ent.hash, tbl.zone, now)
+	return tbl.chooser.Choose(tbl.fleet.Service(ent.service), ent.attempted, ent.hash, now)
 }
 
 func (ent *entry) attempted(ip [4]byte) bool {
@@ -179,11 +179,11 @@
 	}
 	var agts []*fleet.Agent
 	for _, name := range ent.route.Services() {
-		if agt := picker.Choose(tbl.fleet.Service(name), ent.attempted, ent.hash, tbl.zone, now); agt != nil {
+		if agt := tbl.chooser.Choose(tbl.fleet.Service(name), ent.attempted, ent.hash, now); agt != nil {
 			agts = append(agts, agt)
 		}
 	}
-	agt := picker.Choose(agts, ent.attempted, ent.hash, tbl.zone, now)
+	agt := tbl.chooser.Choose(agts, ent.attempted, ent.hash, now)
 	if agt == nil || agt.Upstream().Service() == ent.service {
 		return
 	}
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -13,6 +13,7 @@
 	"lagoondrum/core/fleet"
 	"lagoondrum/core/flow"
 	"lagoondrum/core/intent"
+	"lagoondrum/core/picker"
 )
 
 // Limits of the table.
@@ -79,7 +80,7 @@
 // that is used moves to the recent one, and the older one is dropped at every
 // rotation.
 type Table struct {
-	zone         string
+	chooser      *picker.Chooser
 	tracker      *intent.Tracker
 	fleet        *fleet.Fleet
 	recent       map[flow.Key]*entry
@@ -98,7 +99,7 @@
 // the capacity of the balancer's link in bytes per second.
 func New(zone string, linkBytes float64, trk *intent.Tracker, flt *fleet.Fleet) *Table {
 	return &Table{
-		zone:    zone,
+		chooser: picker.New(zone),
 		tracker: trk,
 		fleet:   flt,
 		recent:  make(map[flow.Key]*entry),
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -281,7 +281,7 @@
 			return // From another agent: only heartbeats of balancers have service 0.
 		}
 		agt.balancerHeardAt[from] = now
-		agt.peerSender.addDatagram(agt.agentHeartbeat(now), nil, from)
+		agt.peerSender.addDatagram(agt.agentHeartbeat(now), agt.heartbeatFields(now), from)
 		return
 	}
 	if hdr.Kind() == encap.Seek {
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -196,7 +196,7 @@
 		blc.noteAgent(hdr, from, now)
 		if hdr.Kind() == encap.Heartbeat {
 			blc.handleHeartbeat(hdr, from, now)
-			blc.noteNamedBalancers(box.Data(i)[encap.HeaderBytes:], now)
+			blc.notePayload(hdr, box.Data(i)[encap.HeaderBytes:], from, now)
 			continue
 		}
 		blc.replica.HeardRevision(from, hdr.Revision())
--- /dev/null
+++ b/io/carry/fields.go
@@ -0,0 +1,38 @@
+package carry
+
+import (
+	"net/netip"
+	"time"
+
+	"lagoondrum/core/encap"
+	"lagoondrum/core/fleet"
+)
+
+// heartbeatFields returns the payload of the agent's heartbeats to balancers: what
+// they are told besides the header.
+func (agt *agent) heartbeatFields(_ time.Time) []byte {
+	var payload []byte
+	return payload
+}
+
+// notePayload handles the payload of a heartbeat: of a balancer the names of others, of
+// an agent the fields.
+func (blc *balancer) notePayload(hdr encap.Header, payload []byte, from netip.AddrPort, now time.Time) {
+	if hdr.Service() == 0 {
+		blc.noteNamedBalancers(payload, now)
+	} else if agt := blc.fleet.Agent(from.Addr().As4()); agt != nil {
+		blc.noteFields(agt, payload, now)
+	}
+}
+
+// noteFields handles the payload of an agent's heartbeat.
+func (blc *balancer) noteFields(_ *fleet.Agent, payload []byte, _ time.Time) {
+	wellFormed := encap.EachField(payload, func(fld encap.Field, _ []byte) {
+		switch fld {
+		case encap.ColdRoomField, encap.EvidenceField, encap.BacklogField:
+		}
+	})
+	if !wellFormed {
+		blc.metrics.malformed.Inc(1)
+	}
+}
--- a/io/conf/check.go
+++ b/io/conf/check.go
@@ -115,3 +115,31 @@
 	}
 	return ""
 }
+
+// Values of a switch.
+const (
+	switchOn   = "on"
+	switchOff  = "off"
+	switchAuto = "auto"
+)
+
+func checkSwitch(value string) string {
+	if value != switchOn && value != switchOff && value != switchAuto {
+		return "not one of on, off, auto"
+	}
+	return ""
+}
+
+func checkOptionalMillis(value string) string {
+	if value == "0" {
+		return ""
+	}
+	return checkMillis(value)
+}
+
+func checkNotNegative(value string) string {
+	if num, err := strconv.ParseFloat(value, 64); err != nil || !(num >= 0) || num > maxMillis {
+		return "not a number from 0 to " + strconv.Itoa(maxMillis)
+	}
+	return ""
+}
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -46,6 +46,14 @@
 	{"platform", "address", "127.0.0.1:7800", "ip:port", "address of the platform's configuration service", checkAddrPort},
 	{"platform", "applyMillis", "3000", "ms", "time within which a change of the desired state has to be in force in every process", checkMillis},
 	{"platform", "drainMillis", "3000", "ms", "time within which a draining upstream has to get no new flows", checkMillis},
+	{"platform", "evacuateMillis", "0", "ms", "time within which an evacuated availability zone has to get no new flows; 0: no bound is stated", checkOptionalMillis},
+	{"platform", "coldOverage", "0", "", "how many times its rate a cold upstream may get in a second; 0: no limit is stated", checkNotNegative},
+	{"platform", "coldSlack", "0", "openings", "how many openings more a cold upstream may get in a second", checkNotNegative},
+	{"platform", "contracts", "", "name,...", "parts of the platform's terms in force; they decide what is switched on by auto", acceptAny},
+	{"serving", "judgeUpstreams", "auto", "", "judge upstreams by what callers get from them: on, off or auto", checkSwitch},
+	{"serving", "spillZones", "auto", "", "weigh the room of availability zones against the price of another one: on, off or auto", checkSwitch},
+	{"serving", "shedByCost", "auto", "", "when there is too little room, delay and refuse what costs callers least: on, off or auto", checkSwitch},
+	{"serving", "yieldWhenWeak", "auto", "", "a balancer that lags leaves the rotation while others can carry its part: on, off or auto", checkSwitch},
 	{"tls", "cert", "cert.pem", "file", "certificate of the process", checkNotEmpty},
 	{"tls", "key", "key.pem", "file", "private key of the process", checkNotEmpty},
 	{"tls", "ca", "ca.pem", "file", "certificate authority of the system's processes", checkNotEmpty},
@@ -247,7 +255,53 @@
 // MaxStateAge returns the age that a process's copy of the platform's state may
 // reach, so that every change takes effect in time.
 func (set *Settings) MaxStateAge() time.Duration {
-	return min(set.millis("platform.applyMillis"), set.millis("platform.drainMillis"))
+	age := min(set.millis("platform.applyMillis"), set.millis("platform.drainMillis"))
+	if evacuate := set.millis("platform.evacuateMillis"); evacuate > 0 {
+		age = min(age, evacuate)
+	}
+	return age
+}
+
+// ColdAllowance returns how many times its rate, and how many openings besides, a cold
+// upstream may get in a second; zeros when no limit is stated.
+func (set *Settings) ColdAllowance() (overage, slack float64) {
+	overage, _ = strconv.ParseFloat(set.get("platform.coldOverage"), 64) // Checked by readSection.
+	slack, _ = strconv.ParseFloat(set.get("platform.coldSlack"), 64)
+	return overage, slack
+}
+
+// Contracts returns the parts of the platform's terms that are in force.
+func (set *Settings) Contracts() []string { return splitList(set.get("platform.contracts")) }
+
+// JudgesUpstreams reports whether upstreams are judged by what callers get, where auto
+// is the value for the setting auto.
+func (set *Settings) JudgesUpstreams(auto bool) bool {
+	return set.enabled("serving.judgeUpstreams", auto)
+}
+
+// SpillsZones reports whether the room of availability zones is weighed, where auto is
+// the value for the setting auto.
+func (set *Settings) SpillsZones(auto bool) bool { return set.enabled("serving.spillZones", auto) }
+
+// ShedsByCost reports whether requests are delayed and refused by what that costs
+// callers, where auto is the value for the setting auto.
+func (set *Settings) ShedsByCost(auto bool) bool { return set.enabled("serving.shedByCost", auto) }
+
+// YieldsWhenWeak reports whether a balancer that lags leaves the rotation, where auto
+// is the value for the setting auto.
+func (set *Settings) YieldsWhenWeak(auto bool) bool {
+	return set.enabled("serving.yieldWhenWeak", auto)
+}
+
+func (set *Settings) enabled(key string, auto bool) bool {
+	switch set.get(key) {
+	case switchOn:
+		return true
+	case switchOff:
+		return false
+	default:
+		return auto
+	}
 }
 
 // Upstream returns the address of the upstream beside an agent.
