Log what go-zero reports in the processes' own format

Its messages now go to the process's logger at level debug, severe ones as errors. Seen in a started balancer: its line on SIGTERM in that form; the line on the cgroup is not written on this machine.

--- a/io/logs/logs.go
+++ b/io/logs/logs.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/zeromicro/go-zero/core/logx"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -87,10 +88,12 @@
 }
 
 // New returns a logger of a process that writes lines of level and above to standard
-// output, and its Output.
+// output, and its Output. What libraries log goes to it too.
 func New(process string, level zapcore.Level) (*zap.Logger, *Output) {
 	out := NewOutput(os.Stdout)
-	return newLogger(process, level, out), out
+	log := newLogger(process, level, out)
+	logx.SetWriter(&libraryWriter{log})
+	return log, out
 }
 
 func newLogger(process string, level zapcore.Level, out *Output) *zap.Logger {
