Search for the holder of a flow without waiting for timers

After a loss of all processes each flow is sought once and its client's next try waits for the reset. A search of more than 16 agents waited for the timer of its first round although all had answered, flows that all denied waited for a timer when the state of the platform caught up, and questions had a tenth of the link, which a narrow one fills at that load. Change: the next round begins when the first is answered, denied flows are reset when the state catches up, and questions may use three tenths of the link.

--- a/core/track/query.go
+++ b/core/track/query.go
@@ -10,7 +10,7 @@
 
 // Rate limits of the queries to agents.
 const (
-	queryShare       = 0.1                    // Share of the link that queries may use; the answers use as much of the other direction.
+	queryShare       = 0.3                    // Share of the link that queries may use; the answers use as much of the other direction.
 	queryBurst       = 100 * time.Millisecond // Largest burst, as time at that rate.
 	ipUDPHeaderBytes = 28                     // IPv4 and UDP headers of a datagram.
 )
--- a/core/track/search.go
+++ b/core/track/search.go
@@ -185,9 +185,19 @@
 	}
 	if tbl.allAnswered(key, ent, now) {
 		tbl.tryNext(key, ent, now)
+	} else if sch.rounds == 1 && sch.firstRoundAnswered(tbl.candidates(key, ent), now) {
+		tbl.queryAgents(key, ent, tbl.candidates(key, ent), now)
 	}
 }
 
+// firstRoundAnswered reports whether every agent of a limited first round that is not
+// dead has answered, so that the others need not wait for its timeout.
+func (sch *search) firstRoundAnswered(agts []*fleet.Agent, now time.Time) bool {
+	return len(agts) > firstRoundAgents && !slices.ContainsFunc(agts[:firstRoundAgents], func(agt *fleet.Agent) bool {
+		return sch.awaitsAnswer(agt.IP()) && !agt.Dead(now)
+	})
+}
+
 // allAnswered reports whether every candidate that is not dead has answered.
 func (tbl *Table) allAnswered(key flow.Key, ent *entry, now time.Time) bool {
 	sch := &ent.search
--- a/core/track/search_test.go
+++ b/core/track/search_test.go
@@ -164,12 +164,12 @@
 // answers of the other agents show that the balancer lags.
 func TestLaggingBalancerDoesNotResetFlows(t *testing.T) {
 	fix := newFixture(1)
-	fix.SetRevision(7)
+	fix.SetRevision(7, start)
 	fix.sendData(1, start)
 	denial := encap.New(encap.Absent, feedID, flowKey(1)).WithRevision(8)
 	assertResets(t, fix.receive(denial, vmIP(1), start))
 	fix.listUpstream(2, "feed", 1)
-	fix.SetRevision(8)
+	fix.SetRevision(8, start)
 	later := start.Add(searchInterval)
 	fix.Tick(later)
 	fix.SendQueries(later)
@@ -178,3 +178,31 @@
 	found := sendActions(fix.receive(encap.New(encap.Held, feedID, flowKey(1)).WithSeq(5000).WithRevision(8), vmIP(2), later))
 	assert.Equal(t, found[0].Agent(), vmIP(2))
 }
+
+// The load after a loss of all processes: each flow is sought once, and its client's
+// next try waits for the reset.
+func TestSearchGoesOnWithoutWaiting(t *testing.T) {
+	t.Run("the other agents are queried once those of the first round have denied", func(t *testing.T) {
+		fix := newFixture(firstRoundAgents + 10)
+		asked := sendActions(fix.sendData(1, start))
+		assert.Equal(t, len(asked), firstRoundAgents)
+		for _, act := range asked {
+			acts := fix.receive(encap.New(encap.Absent, feedID, flowKey(1)), act.Agent(), start)
+			assertResets(t, acts)
+			asked = sendActions(acts)
+		}
+		assert.Equal(t, len(asked), 10)
+		for _, act := range asked[1:] {
+			assertResets(t, fix.receive(encap.New(encap.Absent, feedID, flowKey(1)), act.Agent(), start))
+		}
+		assertResets(t, fix.receive(encap.New(encap.Absent, feedID, flowKey(1)), asked[0].Agent(), start), AllDenied)
+	})
+	t.Run("a flow that all deny is reset when the state catches up", func(t *testing.T) {
+		fix := newFixture(1)
+		fix.SetRevision(7, start)
+		fix.sendData(1, start)
+		assertResets(t, fix.receive(encap.New(encap.Absent, feedID, flowKey(1)).WithRevision(8), vmIP(1), start))
+		fix.SetRevision(8, start)
+		assertResets(t, fix.TakeActions(), AllDenied)
+	})
+}
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -120,8 +120,30 @@
 // Hints returns the number of remembered flows.
 func (tbl *Table) Hints() int { return len(tbl.recent) + len(tbl.older) }
 
-// SetRevision sets the revision of the platform's state that the fleet reflects.
-func (tbl *Table) SetRevision(revision uint64) { tbl.revision = revision }
+// SetRevision sets the revision of the platform's state that the fleet reflects. Flows
+// that every agent denies are reset then, if only the lagging state held that up.
+func (tbl *Table) SetRevision(revision uint64, now time.Time) {
+	lagged := tbl.lags()
+	tbl.revision = revision
+	if lagged && !tbl.lags() {
+		tbl.resetDenied(now)
+	}
+}
+
+// resetDenied resets the flows that are being searched for and that every agent
+// denies, in the order of their keys.
+func (tbl *Table) resetDenied(now time.Time) {
+	var searched []flow.Key
+	for key, ent := range tbl.pending {
+		if ent.phase == searching {
+			searched = append(searched, key)
+		}
+	}
+	flow.Sort(searched)
+	for _, key := range searched {
+		tbl.resetIfDenied(key, tbl.pending[key], now)
+	}
+}
 
 // lags reports whether an agent has told a newer revision than that of the fleet, so
 // that an upstream may hold flows that this balancer does not know yet.
--- a/io/carry/state.go
+++ b/io/carry/state.go
@@ -69,7 +69,7 @@
 	for _, itm := range items {
 		blc.applyEntry(itm, now)
 	}
-	blc.table.SetRevision(nws.Revision())
+	blc.table.SetRevision(nws.Revision(), now)
 	if !blc.leaving && blc.tracker.State() != nil && !blc.ready.Load() {
 		blc.ready.Store(true)
 		blc.log.Info("ready", zap.Uint64("version", blc.tracker.State().Version()), zap.Int("upstreams", blc.fleet.Len()))
@@ -77,9 +77,9 @@
 	if len(items) > 0 {
 		blc.heartbeatDueAt = now
 		blc.announceState(blc.heartbeat(0, now), blc.fleet.All())
-		blc.peerSender.flush()
 		blc.wakeTicker()
 	}
+	blc.flush(now)
 }
 
 // applyEntry applies a changed or deleted entry of an upstream.
