Tell when a request ran whose caller had given up

TestWakeAfterDeadline failed once more on the untouched code, and its message does not tell whether the run began before the agent stopped or after it woke. The upstream stand-in now records when runs begin, and the message tells the time since the wake. The check is unchanged.

--- a/io/fault/planned_test.go
+++ b/io/fault/planned_test.go
@@ -342,6 +342,7 @@
 	}
 	wg.Wait()
 	time.Sleep(shortTimeout / 2)
+	wokenAt := time.Now()
 	reg.signal(targetAgent, syscall.SIGCONT)
 	time.Sleep(2 * shortTimeout)
 	late := 0
@@ -349,7 +350,7 @@
 		reg.assertAtMostOnce(t, req)
 		if req.err != nil {
 			late++
-			assert.Equal(t, reg.runs(req.id), 0, "%s ran after its deadline: %v", req.id, req.err)
+			assert.Equal(t, reg.runs(req.id), 0, "%s ran after its deadline: %v; the run began %s after the wake", req.id, req.err, reg.ranAt(req.id).Sub(wokenAt))
 		}
 	}
 	assert.Assert(t, late > 0, "no request failed, so none was sent to the stopped agent")
--- a/io/fault/region_test.go
+++ b/io/fault/region_test.go
@@ -274,6 +274,17 @@
 	return total
 }
 
+// ranAt returns when the upstreams last began to run a request.
+func (reg *region) ranAt(id string) time.Time {
+	var last time.Time
+	for _, ups := range reg.upstreams {
+		if at := ups.Report().RanAt[id]; at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
 // assertAtMostOnce checks what must hold for every request under every fault: it ran
 // at most once, it ran if it was answered, and it did not run if the caller got a
 // NotRunError.
--- a/io/stand/upstream.go
+++ b/io/stand/upstream.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -40,15 +41,16 @@
 
 // Report holds the counts of an upstream since its start.
 type Report struct {
-	Service      string         `json:"service"`
-	Runs         map[string]int `json:"runs"`         // Runs by name of the order.
-	Misrouted    int            `json:"misrouted"`    // Requests that were meant for another service.
-	Shed         int            `json:"shed"`         // Work that was refused.
-	Streams      int64          `json:"streams"`      // Streams that are open now.
-	MostAtOnce   int            `json:"mostAtOnce"`   // Largest number of slots in use at the same time.
-	LastNewWork  time.Time      `json:"lastNewWork"`  // When the latest work began to run.
-	Interrupted  int            `json:"interrupted"`  // Work whose connection ended before its answer.
-	StreamsBegun int            `json:"streamsBegun"` // Streams opened since the start.
+	Service      string               `json:"service"`
+	Runs         map[string]int       `json:"runs"`         // Runs by name of the order.
+	RanAt        map[string]time.Time `json:"ranAt"`        // When the last run of an order began.
+	Misrouted    int                  `json:"misrouted"`    // Requests that were meant for another service.
+	Shed         int                  `json:"shed"`         // Work that was refused.
+	Streams      int64                `json:"streams"`      // Streams that are open now.
+	MostAtOnce   int                  `json:"mostAtOnce"`   // Largest number of slots in use at the same time.
+	LastNewWork  time.Time            `json:"lastNewWork"`  // When the latest work began to run.
+	Interrupted  int                  `json:"interrupted"`  // Work whose connection ended before its answer.
+	StreamsBegun int                  `json:"streamsBegun"` // Streams opened since the start.
 }
 
 // Upstream runs work in a limited number of slots and serves streams of numbered
@@ -72,7 +74,7 @@
 func NewUpstream(service string, slots int, workTime, coldTime time.Duration) *Upstream {
 	return &Upstream{
 		service: service, slots: slots, workTime: workTime, coldTime: coldTime, started: time.Now(), mode: Normal,
-		report: Report{Service: service, Runs: make(map[string]int)},
+		report: Report{Service: service, Runs: make(map[string]int), RanAt: make(map[string]time.Time)},
 	}
 }
 
@@ -93,6 +95,7 @@
 	for order, runs := range ups.report.Runs {
 		rep.Runs[order] = runs
 	}
+	rep.RanAt = maps.Clone(ups.report.RanAt)
 	return rep
 }
 
@@ -177,6 +180,7 @@
 	ups.report.MostAtOnce = max(ups.report.MostAtOnce, ups.running)
 	ups.report.Runs[order]++
 	ups.report.LastNewWork = time.Now()
+	ups.report.RanAt[order] = ups.report.LastNewWork
 	return ups.mode, true
 }
 
