Keep new flows out of evacuated availability zones

The operator's order to evacuate a zone was an item of no kind: its upstreams went on getting flows. Change: core/evac keeps the orders in force; balancers exclude the upstreams of such zones from every choice, and agents refuse openings for their own upstream, so that a process with an old state breaks nothing. A service whose zones are all evacuated has its openings reset at once, with a cause of its own.

--- a/core/fleet/agent.go
+++ b/core/fleet/agent.go
@@ -28,6 +28,7 @@
 	pending         int // Openings sent since the last load report.
 	leaving         bool
 	down            bool
+	evacuated       bool
 	restartUntil    time.Time // Until when an announced restart is waited for.
 	incarnation     uint64
 	misses          int       // Unanswered openings in a row.
@@ -116,10 +117,11 @@
 	Draining               // The upstream's entry says that it drains.
 	Leaving                // The agent said that it stops.
 	UpstreamDown           // The agent said that its upstream does not run.
+	Evacuated              // The upstream's availability zone is evacuated.
 	exclusionEnd
 )
 
-var exclusionNames = [exclusionEnd]string{"none", "draining", "leaving", "upstreamDown"}
+var exclusionNames = [exclusionEnd]string{"none", "draining", "leaving", "upstreamDown", "evacuated"}
 
 // String returns the exclusion's name in logs.
 func (exc Exclusion) String() string { return exclusionNames[exc] }
@@ -133,6 +135,8 @@
 		return Leaving
 	case agt.down:
 		return UpstreamDown
+	case agt.evacuated:
+		return Evacuated
 	default:
 		return NotExcluded
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lagoondrum/core/encap"
+	"lagoondrum/core/evac"
 	"lagoondrum/core/intent"
 )
 
@@ -24,6 +25,8 @@
 	services  map[string][]*Agent  // By the service's name, each sorted by IP address.
 	all       []*Agent             // Sorted by IP address.
 	state     *intent.State        // The desired state in force; nil before the first one.
+
+	evacuations *evac.Orders
 }
 
 // New returns an empty fleet.
@@ -32,6 +35,8 @@
 		upstreams: make(map[string]*Upstream),
 		agents:    make(map[[4]byte]*Agent),
 		services:  make(map[string][]*Agent),
+
+		evacuations: evac.New(),
 	}
 }
 
@@ -113,6 +118,7 @@
 			flt.agents[ip] = &Agent{upstream: ups, serviceID: encap.ServiceID(ups.service)}
 		}
 	}
+	flt.markEvacuated()
 	flt.rebuildIndex()
 }
 
--- a/core/flows/balancer.go
+++ b/core/flows/balancer.go
@@ -48,12 +48,13 @@
 // handleOpen handles a packet that asks to open a flow.
 func (tbl *Table) handleOpen(hdr encap.Header, pkt flow.Packet, raw []byte, from flow.Endpoint, now time.Time) {
 	key := pkt.KeyFromClient()
-	if rsn := tbl.refusalReason(hdr); rsn != encap.NoReason {
+	rec := tbl.records[key]
+	known := rec != nil && rec.clientISN == pkt.Seq() && rec.phase != closed && rec.phase != trying
+	if rsn := tbl.refusalReason(hdr, known && rec.accepted); rsn != encap.NoReason {
 		tbl.notify(from, encap.New(encap.Refused, hdr.Service(), key).WithReason(rsn), nil, now)
 		return
 	}
-	rec := tbl.records[key]
-	if rec == nil || rec.clientISN != pkt.Seq() || rec.phase == closed || rec.phase == trying {
+	if !known {
 		tbl.remove(key, now)
 		sentAt := now.Add(-sendOffsets[min(int(pkt.Ack()), len(sendOffsets)-1)]) // The ack of an opening packet counts the copies sent before.
 		if tbl.refusesOpening(key, hdr, sentAt, now) {
@@ -75,11 +76,14 @@
 	}
 }
 
-// refusalReason returns why a flow cannot be opened, NoReason if it can.
-func (tbl *Table) refusalReason(hdr encap.Header) encap.Reason {
+// refusalReason returns why a flow cannot be opened, NoReason if it can. accepted tells
+// that the upstream has answered an earlier copy of the opening.
+func (tbl *Table) refusalReason(hdr encap.Header, accepted bool) encap.Reason {
 	switch {
 	case hdr.Service() != tbl.service:
 		return encap.OtherService
+	case tbl.evacuated && !accepted:
+		return encap.Evacuated
 	default:
 		return tbl.unavailableReason()
 	}
--- a/core/flows/table.go
+++ b/core/flows/table.go
@@ -87,6 +87,7 @@
 	ended       []flow.Key             // Flows that are still to be reset after the upstream has ended.
 	leaving     bool
 	down        bool
+	evacuated   bool      // The upstream's availability zone is evacuated.
 	answerDue   time.Time // When the upstream is probed unless it sends a packet before; zero when no answer is due.
 	nextProbeAt time.Time
 	nextSweepAt time.Time
@@ -169,6 +170,13 @@
 // SetLeaving sets whether the upstream takes no new flows.
 func (tbl *Table) SetLeaving(leaving bool) { tbl.leaving = leaving }
 
+// SetEvacuated sets whether the upstream's availability zone is evacuated. Then it gets
+// no openings, except for copies of those that it has accepted.
+func (tbl *Table) SetEvacuated(evacuated bool) { tbl.evacuated = evacuated }
+
+// Evacuated reports whether the upstream's availability zone is evacuated.
+func (tbl *Table) Evacuated() bool { return tbl.evacuated }
+
 // Service returns the service of the upstream.
 func (tbl *Table) Service() uint64 { return tbl.service }
 
--- a/core/flows/table_test.go
+++ b/core/flows/table_test.go
@@ -127,9 +127,10 @@
 		prepare func(tbl *Table)
 		want    encap.Reason
 	}{
-		"of another service":         {func(tbl *Table) { tbl.SetService(1) }, encap.OtherService},
-		"while the upstream leaves":  {func(tbl *Table) { tbl.SetLeaving(true) }, encap.Leaving},
-		"while the upstream is down": {func(tbl *Table) { tbl.HandleProbeResult(NotRunning{}) }, encap.Down},
+		"of another service":          {func(tbl *Table) { tbl.SetService(1) }, encap.OtherService},
+		"while the upstream leaves":   {func(tbl *Table) { tbl.SetLeaving(true) }, encap.Leaving},
+		"while the upstream is down":  {func(tbl *Table) { tbl.HandleProbeResult(NotRunning{}) }, encap.Down},
+		"while the zone is evacuated": {func(tbl *Table) { tbl.SetEvacuated(true) }, encap.Evacuated},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tbl := newTable(true)
--- a/core/track/action.go
+++ b/core/track/action.go
@@ -39,6 +39,7 @@
 	Answered           // The upstream answered the opening.
 	Widened            // No agent of the route's known services reported the flow, but another service may hold it; all agents are queried.
 	Overflowed         // The service chosen by the route's shares is full; another service of the route is asked.
+	AllEvacuated       // The service has upstreams that could take the flow, but all of their availability zones are evacuated.
 	causeEnd
 )
 
@@ -48,7 +49,7 @@
 var causeNames = [CauseCount]string{
 	"none", "noRoute", "noUpstream", "allRefused", "flowGone", "allDenied", "noHint", "hintWrong",
 	"found", "notFound", "refusal", "unanswered", "repeatedOpen",
-	"asked", "answered", "widened", "overflowed",
+	"asked", "answered", "widened", "overflowed", "allEvacuated",
 }
 
 // String returns the cause's name in logs and metrics.
--- a/core/track/opening.go
+++ b/core/track/opening.go
@@ -98,8 +98,8 @@
 }
 
 // handleNoAgentLeft handles an opening that no candidate is left for. If all agents
-// refused it, the flow is reset at once. If some did not answer, all are asked
-// again when the client sends its next copy.
+// refused it or are excluded, the flow is reset at once. If some did not answer, all
+// are asked again when the client sends its next copy.
 func (tbl *Table) handleNoAgentLeft(key flow.Key, ent *entry, now time.Time) {
 	delete(tbl.pending, key)
 	if ent.unanswered {
@@ -108,13 +108,22 @@
 		return
 	}
 	cse := AllRefused
-	if len(ent.attempts) == 0 {
+	switch {
+	case tbl.fleet.OnlyEvacuated(ent.service, now), ent.refusedAsEvacuated():
+		cse = AllEvacuated
+	case len(ent.attempts) == 0:
 		cse = NoUpstream
 	}
 	tbl.remove(key)
 	tbl.actions = append(tbl.actions, Action{kind: Reset, cause: cse, key: key})
 }
 
+// refusedAsEvacuated reports whether every agent that was asked refused the opening
+// because its zone is evacuated: this balancer may not know the order yet.
+func (ent *entry) refusedAsEvacuated() bool {
+	return len(ent.attempts) > 0 && !slices.ContainsFunc(ent.attempts, func(att openAttempt) bool { return !att.evacuated })
+}
+
 // handleOpeningTimeout handles an opening that the agent asked last did not answer
 // in time.
 func (tbl *Table) handleOpeningTimeout(key flow.Key, ent *entry, now time.Time) {
@@ -162,6 +171,7 @@
 		return
 	}
 	tbl.notice(key, Refusal, from)
+	ent.attempts[len(ent.attempts)-1].evacuated = hdr.Reason() == encap.Evacuated
 	if hdr.Reason() == encap.Full && !ent.queueIfFull {
 		ent.queueIfFull = true
 		ent.attempts = ent.attempts[:len(ent.attempts)-1] // By its load report it may still be the best agent to queue at.
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -45,8 +45,9 @@
 
 // openAttempt is a request to an agent to open a flow.
 type openAttempt struct {
-	ip     [4]byte
-	sentAt time.Time
+	ip        [4]byte
+	sentAt    time.Time
+	evacuated bool // The agent refused because its zone is evacuated.
 }
 
 // holder is an agent that reported that it holds a flow.
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -110,6 +110,7 @@
 	agt.settings = set
 	agt.upstream = set.Upstream()
 	agt.table.SetService(encap.ServiceID(set.Service()))
+	agt.applyOwnZone()
 }
 
 // leave tells the balancers that the agent is stopping. It does not wait: either
@@ -150,7 +151,9 @@
 	for _, itm := range items {
 		agt.applyEntry(itm, now)
 	}
+	agt.applyEvacuations(agt.fleet, items, nws.Origin(), now)
 	agt.applyOwnEntry()
+	agt.applyOwnZone()
 	if len(items) > 0 {
 		agt.announceState(agt.agentHeartbeat(now), agt.fleet.All())
 		agt.peerSender.flush()
@@ -331,6 +334,7 @@
 	agt.gauges.set("flowsRecorded", float64(agt.table.Flows()))
 	agt.gauges.set("requestsQueued", float64(agt.table.Queued()))
 	agt.gauges.set("requestsUnderWay", agt.table.Load(now).Requests())
+	agt.gauges.setEvacuated(agt.fleet)
 	agt.gauges.setCommon(agt.base, now)
 }
 
--- a/io/carry/state.go
+++ b/io/carry/state.go
@@ -69,6 +69,7 @@
 	for _, itm := range items {
 		blc.applyEntry(itm, now)
 	}
+	blc.applyEvacuations(blc.fleet, items, nws.Origin(), now)
 	blc.table.SetRevision(nws.Revision())
 	if !blc.leaving && blc.tracker.State() != nil && !blc.ready.Load() {
 		blc.ready.Store(true)
