Take weak balancers out of the rotation while others can carry their part

Routers give every balancer of a zone the same share of flows, also one that is slowed or whose link is full. Change: a balancer judges its own lateness, tells its standing in the heartbeats between balancers, and answers the readiness check with not ready while at most a quarter of its zone's balancers is out.

--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -136,5 +136,17 @@
 // IdleTimeout returns the idle timeout: how long a flow without packets is kept.
 func (stt *State) IdleTimeout() time.Duration { return stt.idleTimeout }
 
+// TightestObjective returns the shortest latency objective of the routes, 0 when none
+// has one.
+func (stt *State) TightestObjective() time.Duration {
+	var tightest time.Duration
+	for _, rte := range stt.routes {
+		if obj := rte.urgency.Objective(); obj > 0 && (tightest == 0 || obj < tightest) {
+			tightest = obj
+		}
+	}
+	return tightest
+}
+
 // Route returns the route of an address, or nil when there is none.
 func (stt *State) Route(address flow.Endpoint) *Route { return stt.routes[address] }
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -48,6 +48,7 @@
 	wake             chan struct{}
 	gauges           gauges
 	gaugesDueAt      time.Time
+	watch            *watch // Nil unless the balancer leaves the rotation when it is weak.
 }
 
 // RunBalancer runs a balancer until ctx ends and the routers have stopped sending
@@ -75,6 +76,7 @@
 		gauges:       gauges{scope: bas.scope},
 	}
 	blc.table = track.New(set.Place().Zone(), set.LinkBytes(), blc.tracker, blc.fleet)
+	blc.startWatch(time.Now())
 	bas.replica.OnChange(blc.applyChanges, blc)
 	if err := bas.serveHTTP(); err != nil {
 		return err
@@ -155,6 +157,7 @@
 	blc.mu.Lock()
 	defer blc.mu.Unlock()
 	blc.lastPacketAt = now
+	blc.watch.noteRead(count)
 	for i := range count {
 		pkt, ok := platform.ParsePacket(box.Data(i))
 		if !ok {
@@ -186,6 +189,7 @@
 func (blc *balancer) handlePeerDatagrams(box *mmsg.Inbox, count int, now time.Time) {
 	blc.mu.Lock()
 	defer blc.mu.Unlock()
+	blc.watch.noteRead(count)
 	for i := range count {
 		hdr, ok := encap.Parse(box.Data(i))
 		if !ok {
@@ -276,6 +280,7 @@
 func (blc *balancer) tick(now time.Time) time.Time {
 	blc.mu.Lock()
 	defer blc.mu.Unlock()
+	blc.watchSelf(now)
 	blc.fleet.Tick(now)
 	blc.tracker.Confirm(blc.replica.ConfirmedAt())
 	blc.table.Tick(now)
@@ -283,10 +288,12 @@
 	blc.sendHeartbeats(now)
 	blc.flush(now)
 	blc.updateGauges(now)
+	next := now.Add(idleTick)
 	if blc.table.NeedsTick() {
-		return now.Add(busyTick)
+		next = now.Add(busyTick)
 	}
-	return now.Add(idleTick)
+	blc.watch.expectTick(next)
+	return next
 }
 
 // updateGauges updates the gauges if that is due.
--- a/io/carry/base.go
+++ b/io/carry/base.go
@@ -54,6 +54,7 @@
 	self        netip.AddrPort
 	incarnation uint64
 	ready       atomic.Bool
+	yields      atomic.Bool // The balancer has left the rotation because it is weak.
 	supervisor  *suture.Supervisor
 }
 
@@ -124,7 +125,7 @@
 
 // serveReady answers the readiness checks of the platform.
 func (bas *base) serveReady(rw http.ResponseWriter, _ *http.Request) {
-	if !bas.ready.Load() {
+	if !bas.ready.Load() || bas.yields.Load() {
 		rw.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/io/carry/beat.go
+++ b/io/carry/beat.go
@@ -76,7 +76,7 @@
 	if !newRound && !isSeed && !blc.replica.Reading() {
 		return
 	}
-	hdr, names := blc.heartbeat(0, now), sampleBalancers(reading, heard)
+	hdr, names := blc.withStanding(blc.heartbeat(0, now)), sampleBalancers(reading, heard)
 	for ip := range readers {
 		blc.peerSender.addDatagram(hdr, names, addrPort(ip, blc.self.Port()))
 	}
--- a/io/carry/fields.go
+++ b/io/carry/fields.go
@@ -20,6 +20,7 @@
 func (blc *balancer) notePayload(hdr encap.Header, payload []byte, from netip.AddrPort, now time.Time) {
 	if hdr.Service() == 0 {
 		blc.noteNamedBalancers(payload, now)
+		blc.noteStanding(hdr, from, now)
 	} else if agt := blc.fleet.Agent(from.Addr().As4()); agt != nil {
 		blc.noteFields(agt, payload, now)
 	}
--- a/io/carry/post.go
+++ b/io/carry/post.go
@@ -8,6 +8,9 @@
 	"lagoondrum/io/mmsg"
 )
 
+// ipUDPHeaderBytes is the length of the IPv4 and UDP headers of a datagram.
+const ipUDPHeaderBytes = 28
+
 // sender collects datagrams and sends them in batches over one socket. It copies
 // them, so that callers can reuse their buffers.
 type sender struct {
@@ -15,6 +18,7 @@
 	out     *mmsg.Outbox
 	buffers [mmsg.BatchSize][]byte
 	refused uint64 // Datagrams that the kernel did not accept.
+	bytes   uint64 // Of datagrams with a header, with their IPv4 and UDP headers.
 }
 
 func newSender(con *mmsg.Conn) *sender {
@@ -36,7 +40,9 @@
 func (snd *sender) addDatagram(hdr encap.Header, payload []byte, to netip.AddrPort) {
 	buf := snd.nextBuffer()
 	hdr.Put(buf)
-	snd.out.Add(buf[:encap.HeaderBytes+copy(buf[encap.HeaderBytes:], payload)], to, netip.Addr{})
+	size := encap.HeaderBytes + copy(buf[encap.HeaderBytes:], payload)
+	snd.bytes += uint64(size + ipUDPHeaderBytes)
+	snd.out.Add(buf[:size], to, netip.Addr{})
 }
 
 // nextBuffer returns the buffer for the next datagram. A full batch is sent first.
--- a/io/carry/state.go
+++ b/io/carry/state.go
@@ -66,6 +66,7 @@
 	defer blc.mu.Unlock()
 	blc.adoptStates(blc.tracker, states, nws.Origin(), now)
 	blc.fleet.SetState(blc.tracker.State())
+	blc.watch.setState(blc.tracker.State())
 	for _, itm := range items {
 		blc.applyEntry(itm, now)
 	}
