--- a/io/carry/state.go
+++ b/io/carry/state.go
@@ -66,9 +66,11 @@
 	defer blc.mu.Unlock()
 	blc.adoptStates(blc.tracker, states, nws.Origin(), now)
 	blc.fleet.SetState(blc.tracker.State())
+	blc.watch.setState(blc.tracker.State())
 	for _, itm := range items {
 		blc.applyEntry(itm, now)
 	}
+	blc.applyEvacuations(blc.fleet, items, nws.Origin(), now)
 	blc.table.SetRevision(nws.Revision(), now)
 	if !blc.leaving && blc.tracker.State() != nil && !blc.ready.Load() {
 		blc.ready.Store(true)
