Spread news of a changed state mostly within the own zone

Whoever is told of a new state fetches it from who told it, and was told by agents of any zone: three of four fetches crossed zones in a deployment of four.

--- a/io/carry/base.go
+++ b/io/carry/base.go
@@ -176,18 +176,18 @@
 }
 
 // announceState sends a heartbeat immediately to up to announceFanout random agents,
-// so that a new state reaches them before the next round.
+// most of them in the own availability zone, so that a new state reaches them before
+// the next round.
 func (bas *base) announceState(hdr encap.Header, agents []*fleet.Agent) {
-	sent := 0
+	var others []*fleet.Agent
 	for _, idx := range rand.Perm(len(agents)) {
-		if sent == announceFanout {
-			return
-		}
-		if ip := agents[idx].IP(); ip != bas.self.Addr().As4() {
-			bas.peerSender.addDatagram(hdr, nil, addrPort(ip, bas.self.Port()))
-			sent++
+		if agents[idx].IP() != bas.self.Addr().As4() {
+			others = append(others, agents[idx])
 		}
 	}
+	for _, agt := range fleet.SpreadTargets(others, bas.settings.Place().Zone(), announceFanout) {
+		bas.peerSender.addDatagram(hdr, nil, addrPort(agt.IP(), bas.self.Port()))
+	}
 }
 
 // close closes the resources that the supervisor does not close.
