Judge a balancer's link by the time of its agents' answers

What a balancer sends does not fill its own link when the way in is squeezed, so the share of the link that it sent told nothing there. Change: the time until agents answer heartbeats is one more sign of weakness.

--- a/core/fleet/agent.go
+++ b/core/fleet/agent.go
@@ -69,6 +69,12 @@
 	}
 }
 
+// AnswerTime returns how long the message that the agent answers with a datagram that
+// arrives at now was unanswered, false when it answers none.
+func (agt *Agent) AnswerTime(now time.Time) (time.Duration, bool) {
+	return now.Sub(agt.unansweredSince), !agt.unansweredSince.IsZero()
+}
+
 // NoteHeard records a datagram of the agent and reports whether its leaving or
 // down flag changed.
 func (agt *Agent) NoteHeard(hdr encap.Header, now time.Time) bool {
--- a/core/yield/yield_test.go
+++ b/core/yield/yield_test.go
@@ -157,6 +157,12 @@
 		}
 		return smp
 	}
+	answers := func(slow, all int) (smp Sample) {
+		for num := range all {
+			smp.NoteAnswer(num < slow)
+		}
+		return smp
+	}
 	var link Sample
 	link.NoteLink(0.95)
 	for name, tc := range map[string]struct {
@@ -168,6 +174,9 @@
 		"half of reads":    {reads(10, 20), true},
 		"some reads":       {reads(9, 20), false},
 		"too few to judge": {reads(10, 10), false},
+		"half of answers":  {answers(4, 8), true},
+		"some answers":     {answers(3, 8), false},
+		"too few answers":  {answers(4, 4), false},
 		"full link":        {link, true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -217,6 +217,7 @@
 	if agt == nil {
 		return
 	}
+	blc.watch.noteAnswer(agt, now)
 	silent := agt.UnansweredFor(queryAgainAfter, now)
 	changed := agt.NoteHeard(hdr, now)
 	if silent {
--- a/io/carry/watch.go
+++ b/io/carry/watch.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"lagoondrum/core/encap"
+	"lagoondrum/core/fleet"
 	"lagoondrum/core/intent"
 	"lagoondrum/core/yield"
 	"lagoondrum/io/mmsg"
@@ -43,6 +44,15 @@
 	}
 }
 
+func (wtc *watch) noteAnswer(agt *fleet.Agent, now time.Time) {
+	if wtc == nil {
+		return
+	}
+	if took, answers := agt.AnswerTime(now); answers {
+		wtc.sample.NoteAnswer(took >= wtc.policy.Limit())
+	}
+}
+
 func (wtc *watch) expectTick(dueAt time.Time) {
 	if wtc != nil {
 		wtc.tickDueAt = dueAt
@@ -88,7 +98,7 @@
 	blc.gauges.set("standing", float64(std))
 	blc.scope.Counter("standingChanges", "standing", std.String()).Inc(1)
 	blc.log.Info("standing", zap.Stringer("standing", std), zap.Duration("lateness", wtc.sample.Lateness()), zap.Duration("limit", wtc.policy.Limit()),
-		zap.Float64("fullReads", wtc.sample.FullReads()), zap.Float64("linkShare", wtc.sample.LinkShare()), zap.Int("known", known), zap.Int("weak", weak), zap.Int("ahead", ahead))
+		zap.Float64("fullReads", wtc.sample.FullReads()), zap.Float64("slowAnswers", wtc.sample.SlowAnswers()), zap.Float64("linkShare", wtc.sample.LinkShare()), zap.Int("known", known), zap.Int("weak", weak), zap.Int("ahead", ahead))
 }
 
 // announceStanding tells some balancers of the zone the standing.
