Count overdue heartbeats too

A heartbeat that an agent has not answered yet says as much about a squeezed link as a late answer. Change: the time of answers counts those still due.

--- a/core/fleet/agent.go
+++ b/core/fleet/agent.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// AnswerTime returns how long the message that the agent answers with a datagram that
-// arrives at now was unanswered, false when it answers none.
+// AnswerTime returns how long the agent has left a message unanswered, false when it
+// owes no answer.
 func (agt *Agent) AnswerTime(now time.Time) (time.Duration, bool) {
 	return now.Sub(agt.unansweredSince), !agt.unansweredSince.IsZero()
 }
--- a/core/yield/sample.go
+++ b/core/yield/sample.go
@@ -38,8 +38,9 @@
 	}
 }
 
-// NoteAnswer records an answer of an agent to a heartbeat or an opening. When most of
-// them are slow, so is what they have in common: the balancer's own link.
+// NoteAnswer records the answer of an agent to a heartbeat or an opening, or that one is
+// overdue. When most of them are slow, so is what they have in common: the balancer's own
+// link.
 func (smp *Sample) NoteAnswer(slow bool) {
 	smp.answers++
 	if slow {
--- a/core/yield/yield.go
+++ b/core/yield/yield.go
@@ -13,7 +13,7 @@
 
 // Timing and limits.
 const (
-	turnAfter    = 4                      // Intervals in a row after which a balancer counts as weak, or as sound again.
+	turnAfter    = 3                      // Intervals in a row after which a balancer counts as weak, or as sound again.
 	announceTime = 500 * time.Millisecond // A weak balancer stays for so long, until the announcements of others have crossed its own.
 	peerMemory   = 12 * time.Second       // What another balancer said holds for so long.
 	shortestStay = 5 * time.Second        // Out of the rotation.
--- a/io/carry/beat.go
+++ b/io/carry/beat.go
@@ -38,6 +38,7 @@
 	hdr := blc.heartbeat(0, now)
 	for _, ip := range due[:min(len(due), heartbeatsPerInterval+maxUnresponsiveAgents)] {
 		if agt := blc.fleet.Agent(ip); agt != nil {
+			blc.watch.noteAsked(agt, now)
 			agt.NoteMessageSent(now)
 			blc.peerSender.addDatagram(hdr, nil, addrPort(ip, blc.self.Port()))
 		}
--- a/io/carry/watch.go
+++ b/io/carry/watch.go
@@ -25,6 +25,7 @@
 	policy    *yield.Policy
 	sample    yield.Sample
 	tickDueAt time.Time
+	asked     [][4]byte // Agents that owed no answer before the last heartbeat to them, in this interval.
 	decideAt  time.Time
 	decidedAt time.Time
 	sentBytes uint64 // Until decidedAt.
@@ -53,6 +54,29 @@
 	}
 }
 
+// noteAsked records that an agent is about to get a heartbeat. An agent that owes an
+// answer already may be down, so whether it answers tells nothing about the link.
+func (wtc *watch) noteAsked(agt *fleet.Agent, now time.Time) {
+	if wtc == nil {
+		return
+	}
+	if _, owes := agt.AnswerTime(now); !owes {
+		wtc.asked = append(wtc.asked, agt.IP())
+	}
+}
+
+// noteUnanswered takes the heartbeats into account that are still unanswered.
+func (wtc *watch) noteUnanswered(flt *fleet.Fleet, now time.Time) {
+	for _, ip := range wtc.asked {
+		if agt := flt.Agent(ip); agt != nil {
+			if took, owes := agt.AnswerTime(now); owes && took >= wtc.policy.Limit() {
+				wtc.sample.NoteAnswer(true)
+			}
+		}
+	}
+	wtc.asked = wtc.asked[:0]
+}
+
 func (wtc *watch) expectTick(dueAt time.Time) {
 	if wtc != nil {
 		wtc.tickDueAt = dueAt
@@ -76,6 +100,7 @@
 	if now.Before(wtc.decideAt) {
 		return
 	}
+	wtc.noteUnanswered(blc.fleet, now)
 	sent := float64(blc.peerSender.bytes - wtc.sentBytes)
 	wtc.sample.NoteLink(sent / (blc.settings.LinkBytes() * now.Sub(wtc.decidedAt).Seconds()))
 	changed := wtc.policy.Decide(wtc.sample, now)
