--- a/io/carry/watch.go
+++ b/io/carry/watch.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"lagoondrum/core/encap"
+	"lagoondrum/core/fleet"
 	"lagoondrum/core/intent"
 	"lagoondrum/core/yield"
 	"lagoondrum/io/mmsg"
@@ -24,6 +25,7 @@
 	policy    *yield.Policy
 	sample    yield.Sample
 	tickDueAt time.Time
+	asked     [][4]byte // Agents that owed no answer before the last heartbeat to them, in this interval.
 	decideAt  time.Time
 	decidedAt time.Time
 	sentBytes uint64 // Until decidedAt.
@@ -43,6 +45,38 @@
 	}
 }
 
+func (wtc *watch) noteAnswer(agt *fleet.Agent, now time.Time) {
+	if wtc == nil {
+		return
+	}
+	if took, answers := agt.AnswerTime(now); answers {
+		wtc.sample.NoteAnswer(took >= wtc.policy.Limit())
+	}
+}
+
+// noteAsked records that an agent is about to get a heartbeat. An agent that owes an
+// answer already may be down, so whether it answers tells nothing about the link.
+func (wtc *watch) noteAsked(agt *fleet.Agent, now time.Time) {
+	if wtc == nil {
+		return
+	}
+	if _, owes := agt.AnswerTime(now); !owes {
+		wtc.asked = append(wtc.asked, agt.IP())
+	}
+}
+
+// noteUnanswered takes the heartbeats into account that are still unanswered.
+func (wtc *watch) noteUnanswered(flt *fleet.Fleet, now time.Time) {
+	for _, ip := range wtc.asked {
+		if agt := flt.Agent(ip); agt != nil {
+			if took, owes := agt.AnswerTime(now); owes && took >= wtc.policy.Limit() {
+				wtc.sample.NoteAnswer(true)
+			}
+		}
+	}
+	wtc.asked = wtc.asked[:0]
+}
+
 func (wtc *watch) expectTick(dueAt time.Time) {
 	if wtc != nil {
 		wtc.tickDueAt = dueAt
@@ -66,6 +100,7 @@
 	if now.Before(wtc.decideAt) {
 		return
 	}
+	wtc.noteUnanswered(blc.fleet, now)
 	sent := float64(blc.peerSender.bytes - wtc.sentBytes)
 	wtc.sample.NoteLink(sent / (blc.settings.LinkBytes() * now.Sub(wtc.decidedAt).Seconds()))
 	changed := wtc.policy.Decide(wtc.sample, now)
@@ -88,7 +123,7 @@
 	blc.gauges.set("standing", float64(std))
 	blc.scope.Counter("standingChanges", "standing", std.String()).Inc(1)
 	blc.log.Info("standing", zap.Stringer("standing", std), zap.Duration("lateness", wtc.sample.Lateness()), zap.Duration("limit", wtc.policy.Limit()),
-		zap.Float64("fullReads", wtc.sample.FullReads()), zap.Float64("linkShare", wtc.sample.LinkShare()), zap.Int("known", known), zap.Int("weak", weak), zap.Int("ahead", ahead))
+		zap.Float64("fullReads", wtc.sample.FullReads()), zap.Float64("slowAnswers", wtc.sample.SlowAnswers()), zap.Float64("linkShare", wtc.sample.LinkShare()), zap.Int("known", known), zap.Int("weak", weak), zap.Int("ahead", ahead))
 }
 
 // announceStanding tells some balancers of the zone the standing.
