Order the platform's state by the era of its store

Cause: the store may come back from a copy some seconds old, and gives out revisions again. The mirror, the peers and the flow tables ordered states by revision alone, so the store's answers counted as older for good: with 4 balancers and 4 agents, 0.8 s away and a copy with 7 revisions less, no flow of the next version's route was served.

Change: mirror.Position packs era and revision into the 64 bits of the revision and takes its place in the mirror, in gossip and in datagrams, whose format stays. platform/ reads the header of every answer and refuses answers of a fallen era. Where the era rises, core/epoch judges each item: a newer desired state and an order that was in force are held, a draining upstream is kept, an entry that comes back after its upstream had left gets no new flows before its agent is heard. Peers at the last position of the former era are sent only what differs. A peer that asks a process for changes from before its start gets the full state now, also without the header: deletions before the start are not known there, so the peer kept what had been deleted (found by TestCourses).

Without the header positions equal revisions.

Changes to existing tests: types of positions and names only; the stand-in store refuses revisions that it does not have.

--- a/core/encap/header.go
+++ b/core/encap/header.go
@@ -112,7 +112,7 @@
 	seq         uint32 // Upstream's first sequence number; in a heartbeat the age of the sender's state in milliseconds.
 	load        Load
 	incarnation uint64       // Only in heartbeats.
-	revision    uint64       // Of the platform's state at the sender; not in Open.
+	revision    uint64       // Of the platform's state at the sender, as a mirror.Position; not in Open.
 	urgency     flow.Urgency // Of the route; only in Open.
 }
 
@@ -267,8 +267,8 @@
 // after a restart.
 func (hdr Header) Incarnation() uint64 { return hdr.incarnation }
 
-// Revision returns the revision of the platform's state that the sender holds, 0 when
-// the datagram does not tell it.
+// Revision returns the revision of the platform's state that the sender holds, as a
+// mirror.Position, 0 when the datagram does not tell it.
 func (hdr Header) Revision() uint64 { return hdr.revision }
 
 // Leaving reports whether the sender takes no new flows.
--- a/core/fleet/agent.go
+++ b/core/fleet/agent.go
@@ -32,6 +32,7 @@
 	incarnation     uint64
 	misses          int       // Unanswered openings in a row.
 	avoidUntil      time.Time // Until when new flows avoid the agent.
+	vouched         bool      // The agent was heard, beside an upstream of the service that is listed here.
 	lapsedUntil     time.Time // Until when the agent is kept after its entry has gone; zero while it is listed.
 }
 
@@ -81,6 +82,7 @@
 	if hdr.Kind() != encap.Heartbeat {
 		return changed
 	}
+	agt.vouched = agt.vouched || hdr.Service() == agt.serviceID
 	if hdr.Restarting() {
 		agt.restartUntil = now.Add(restartGrace)
 	} else if hdr.Incarnation() != agt.incarnation {
@@ -116,10 +118,11 @@
 	Draining               // The upstream's entry says that it drains.
 	Leaving                // The agent said that it stops.
 	UpstreamDown           // The agent said that its upstream does not run.
+	Unconfirmed            // The upstream may have left, and its agent was not heard yet.
 	exclusionEnd
 )
 
-var exclusionNames = [exclusionEnd]string{"none", "draining", "leaving", "upstreamDown"}
+var exclusionNames = [exclusionEnd]string{"none", "draining", "leaving", "upstreamDown", "unconfirmed"}
 
 // String returns the exclusion's name in logs.
 func (exc Exclusion) String() string { return exclusionNames[exc] }
@@ -133,6 +136,8 @@
 		return Leaving
 	case agt.down:
 		return UpstreamDown
+	case agt.upstream.doubtful && !agt.vouched:
+		return Unconfirmed
 	default:
 		return NotExcluded
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -119,12 +119,15 @@
 // takesOver reports whether an address that is listed for two upstreams is that of
 // ups: it belongs to the one that started last, as the other one has ended. An entry
 // of a service that the desired state does not name may be anybody's, so it takes no
-// address that has another entry. Alone it stays: its service may have been named
+// address that has another entry, and neither does a doubtful one. Alone it stays: its service may have been named
 // while flows were opened that are still open.
 func (flt *Fleet) takesOver(ups, old *Upstream) bool {
 	if named := flt.namesService(ups.service); named != flt.namesService(old.service) {
 		return named
 	}
+	if ups.doubtful != old.doubtful {
+		return old.doubtful
+	}
 	return ups.startedLater(old)
 }
 
@@ -145,6 +148,7 @@
 		agt.avoidUntil = time.Time{}
 		agt.load = encap.Load{}
 		agt.pending = 0
+		agt.vouched = false
 	}
 	agt.upstream = ups
 	agt.serviceID = encap.ServiceID(ups.service)
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -178,3 +178,37 @@
 	agt.NoteMessageSent(later)
 	assert.Assert(t, agt.Dead(later.Add(DeadTimeout)))
 }
+
+// Guards against new flows to an upstream that had left before the store returned from
+// a copy, which lists it.
+func TestDoubtfulUpstream(t *testing.T) {
+	doubtful := func(id string, startMillis int64) *Upstream {
+		return NewUpstream(Listing{ID: id, Service: "feed", Address: [4]byte{10, 0, 0, 1}, Slots: 4, StartMillis: startMillis}, start).WithDoubt()
+	}
+	for name, tc := range map[string]struct {
+		event  func(flt *Fleet, agt *Agent)
+		usable bool
+	}{
+		"nothing heard": {func(*Fleet, *Agent) {}, false},
+		"its agent is heard": {func(_ *Fleet, agt *Agent) {
+			agt.NoteHeard(encap.NewHeartbeat(encap.ServiceID("feed"), 1, 1), start)
+		}, true},
+		"the agent of another service is heard": {func(_ *Fleet, agt *Agent) {
+			agt.NoteHeard(encap.NewHeartbeat(encap.ServiceID("upload"), 1, 1), start)
+		}, false},
+		"its entry is written again": {func(flt *Fleet, _ *Agent) { putUpstream(flt, "a", "feed", 1, false, 1) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			flt := New()
+			flt.PutEntry(doubtful("a", 1), start)
+			tc.event(flt, flt.Agent([4]byte{10, 0, 0, 1}))
+			assert.Equal(t, flt.Agent([4]byte{10, 0, 0, 1}).Usable(start), tc.usable)
+		})
+	}
+	t.Run("takes no address", func(t *testing.T) {
+		flt := New()
+		putUpstream(flt, "b", "feed", 1, false, 1)
+		flt.PutEntry(doubtful("a", 2), start)
+		assertServes(t, flt, "feed", "b")
+	})
+}
--- a/core/fleet/upstream.go
+++ b/core/fleet/upstream.go
@@ -14,6 +14,7 @@
 	startMillis int64     // Start of this incarnation, Unix time in ms; 0 when unknown.
 	seenAt      time.Time // When this process first read an entry of this incarnation.
 	coldUntil   time.Time // Until when the upstream is slow after its start.
+	doubtful    bool      // The entry may be that of an upstream that has left.
 }
 
 // Listing is the platform's entry of an upstream.
@@ -45,6 +46,13 @@
 	}
 }
 
+// WithDoubt marks the entry as one that may be that of an upstream that has left, and
+// returns the upstream. It gets no new flows before its agent is heard.
+func (ups *Upstream) WithDoubt() *Upstream {
+	ups.doubtful = true
+	return ups
+}
+
 // ID returns the name of the upstream's entry.
 func (ups *Upstream) ID() string { return ups.id }
 
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -27,11 +27,11 @@
 	t.Run("changes after a gap are refused", func(t *testing.T) {
 		_, ok := mir.Update(6, 9, []Item{NewItem("c", nil, 9)})
 		assert.Assert(t, !ok)
-		assert.Equal(t, mir.Revision(), uint64(5))
+		assert.Equal(t, mir.Position(), Position(5))
 	})
 	t.Run("older state is ignored", func(t *testing.T) {
 		assert.Equal(t, len(mir.Replace(4, nil)), 0)
-		assert.Equal(t, mir.Revision(), uint64(5))
+		assert.Equal(t, mir.Position(), Position(5))
 	})
 	t.Run("keys that a later state lacks are deleted", func(t *testing.T) {
 		applied := mir.Replace(8, []Item{NewItem("b", []byte("1"), 5)})
@@ -45,14 +45,25 @@
 	})
 }
 
+// Guards against an item that a peer keeps although it was deleted, because the process
+// that it asks started after the deletion.
+func TestUnknownDeletionsRequireFullState(t *testing.T) {
+	mir := New()
+	mir.Replace(5, []Item{NewItem("a", nil, 3)})
+	_, whole := mir.ChangesSince(4)
+	assert.Assert(t, whole)
+	_, whole = mir.ChangesSince(5)
+	assert.Assert(t, !whole)
+}
+
 func TestCompactedDeletionsRequireFullState(t *testing.T) {
 	mir := New()
-	for rev := uint64(1); rev <= 2*maxDeletions; rev++ {
+	for rev := Position(1); rev <= 2*maxDeletions; rev++ {
 		mir.Update(rev-1, rev, []Item{NewDeletion(string(rune(rev)), rev)})
 	}
 	_, whole := mir.ChangesSince(1)
 	assert.Assert(t, whole)
-	_, whole = mir.ChangesSince(mir.Revision() - 1)
+	_, whole = mir.ChangesSince(mir.Position() - 1)
 	assert.Assert(t, !whole)
 	assert.Assert(t, len(mir.items) <= maxDeletions+1)
 }
--- a/core/mirror/policy.go
+++ b/core/mirror/policy.go
@@ -39,6 +39,12 @@
 	return Claims{confirmedAt: confirmedAt, platformReachable: platformReachable, reading: reading, seed: seed}
 }
 
+// WithoutReading returns the claims of a balancer that does not count as a reader.
+func (clm Claims) WithoutReading() Claims {
+	clm.reading = false
+	return clm
+}
+
 // ConfirmedAt returns when the balancer's state was confirmed to be the newest.
 func (clm Claims) ConfirmedAt() time.Time { return clm.confirmedAt }
 
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -120,7 +120,8 @@
 // Hints returns the number of remembered flows.
 func (tbl *Table) Hints() int { return len(tbl.recent) + len(tbl.older) }
 
-// SetRevision sets the revision of the platform's state that the fleet reflects.
+// SetRevision sets the revision of the platform's state that the fleet reflects, as a
+// number that also rises when the store returns from a copy (mirror.Position).
 func (tbl *Table) SetRevision(revision uint64) { tbl.revision = revision }
 
 // lags reports whether an agent has told a newer revision than that of the fleet, so
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -169,10 +169,10 @@
 	}
 	lst, err := platform.ParseServer(id, itm.Value())
 	if err != nil {
-		agt.log.Warn("invalid upstream entry", zap.String("id", id), zap.Uint64("revision", itm.Revision()), zap.Error(err))
+		agt.log.Warn("invalid upstream entry", zap.String("id", id), gossip.LogPosition(itm.Position()), zap.Error(err))
 		return
 	}
-	agt.fleet.PutEntry(fleet.NewUpstream(lst, now), now)
+	agt.fleet.PutEntry(upstreamOf(lst, itm, now), now)
 }
 
 // applyOwnEntry applies the entry of the agent's own upstream to the flow table. The
--- a/io/carry/agent_actions.go
+++ b/io/carry/agent_actions.go
@@ -25,7 +25,7 @@
 			agt.packetSender.addPacket(act.Packet(), agt.clientAddr(act.Key()))
 		case flows.ToBalancer:
 			agt.noteFlowMessage(act)
-			agt.peerSender.addDatagram(act.Header().WithRevision(agt.replica.Revision()), act.Packet(), endpointAddrPort(act.Balancer()))
+			agt.peerSender.addDatagram(act.Header().WithRevision(uint64(agt.replica.Position())), act.Packet(), endpointAddrPort(act.Balancer()))
 		case flows.Reset:
 			agt.metrics.resets.Inc(1)
 			agt.packetSender.addPacket(platform.NewReset(act.Key(), act.Seq()), agt.clientAddr(act.Key()))
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -12,6 +12,7 @@
 	"lagoondrum/core/encap"
 	"lagoondrum/core/fleet"
 	"lagoondrum/core/intent"
+	"lagoondrum/core/mirror"
 	"lagoondrum/core/track"
 	"lagoondrum/io/conf"
 	"lagoondrum/io/logs"
@@ -199,7 +200,7 @@
 			blc.notePayload(hdr, box.Data(i)[encap.HeaderBytes:], from, now)
 			continue
 		}
-		blc.replica.HeardRevision(from, hdr.Revision())
+		blc.replica.HeardPosition(from, mirror.Position(hdr.Revision()))
 		blc.table.HandleAgentDatagram(hdr, box.Data(i)[encap.HeaderBytes:], from.Addr().As4(), now)
 		blc.perform(now)
 	}
--- a/io/carry/base.go
+++ b/io/carry/base.go
@@ -77,7 +77,11 @@
 		supervisor:  suture.New(set.Name(), suture.Spec{EventHook: func(evt suture.Event) { log.Warn("supervisor", zap.String("event", evt.String())) }}),
 	}
 	bas.store = platform.NewStore(set.Platform())
+	bas.store.OnOddEra(func(told string, known uint64) {
+		log.Warn("platform told an odd era", zap.String("told", told), zap.Uint64("known", known))
+	})
 	bas.replica = gossip.New(bas.store, platform.HistoryLost, self.Addr().As4(), balancer, set.FirstStart(), bas.seeds(set), set.MaxStateAge(), log)
+	bas.replica.SetClassify(platform.SubjectOf)
 	return bas, nil
 }
 
@@ -147,7 +151,7 @@
 
 // heartbeat returns the header of a heartbeat of this process.
 func (bas *base) heartbeat(service uint64, now time.Time) encap.Header {
-	hdr := encap.NewHeartbeat(service, bas.incarnation, bas.replica.Revision())
+	hdr := encap.NewHeartbeat(service, bas.incarnation, uint64(bas.replica.Position()))
 	if at := bas.replica.ConfirmedAt(); !at.IsZero() {
 		hdr = hdr.WithStateConfirmed().WithSeq(uint32(now.Sub(at).Milliseconds()))
 	}
@@ -171,7 +175,7 @@
 	}
 	confirmedAt := now.Add(-time.Duration(hdr.Seq()) * time.Millisecond)
 	clm := mirror.NewClaims(confirmedAt, hdr.PlatformReachable(), hdr.ReadsPlatform(), hdr.Seed())
-	bas.replica.Heard(from, hdr.Service() == 0, clm, hdr.Revision(), now)
+	bas.replica.Heard(from, hdr.Service() == 0, clm, mirror.Position(hdr.Revision()), now)
 }
 
 // announceState sends a heartbeat immediately to up to announceFanout random agents,
--- a/io/carry/meter.go
+++ b/io/carry/meter.go
@@ -81,7 +81,11 @@
 // setCommon sets the gauges that balancers and agents share.
 func (ggs gauges) setCommon(bas *base, now time.Time) {
 	ggs.set("stateAgeSeconds", now.Sub(bas.replica.ConfirmedAt()).Seconds())
-	ggs.set("stateRevision", float64(bas.replica.Revision()))
+	position := bas.replica.Position()
+	ggs.set("stateEra", float64(position.Era()))
+	ggs.set("stateRevision", float64(position.Revision()))
+	ggs.set("storeReturns", float64(bas.replica.EraChanges()))
+	ggs.set("itemsHeld", float64(bas.replica.Held()))
 	ggs.set("platformCalls", float64(bas.replica.Calls()))
 	ggs.set("logLinesDropped", float64(bas.logOutput.Dropped()))
 	ggs.set("datagramsRefused", float64(bas.peerSender.refused))
--- a/io/carry/state.go
+++ b/io/carry/state.go
@@ -23,7 +23,7 @@
 		}
 		stt, err := platform.ParseState(itm.Value())
 		if err != nil {
-			bas.log.Error("invalid desired state", zap.Uint64("revision", itm.Revision()), zap.Error(err))
+			bas.log.Error("invalid desired state", gossip.LogPosition(itm.Position()), zap.Error(err))
 			continue
 		}
 		states = append(states, stt)
@@ -42,7 +42,7 @@
 		}
 	case gossip.Told:
 		trk.MergeHistory(src.History(), src.Covered())
-	case gossip.Watched:
+	case gossip.Watched, gossip.Settled:
 	}
 	for _, stt := range states {
 		taken := trk.Adopt(stt, now)
@@ -69,7 +69,7 @@
 	for _, itm := range items {
 		blc.applyEntry(itm, now)
 	}
-	blc.table.SetRevision(nws.Revision())
+	blc.table.SetRevision(uint64(nws.Position()))
 	if !blc.leaving && blc.tracker.State() != nil && !blc.ready.Load() {
 		blc.ready.Store(true)
 		blc.log.Info("ready", zap.Uint64("version", blc.tracker.State().Version()), zap.Int("upstreams", blc.fleet.Len()))
@@ -90,15 +90,24 @@
 	}
 	if itm.Deleted() {
 		blc.fleet.RemoveEntry(id, now)
-		blc.log.Info("upstream unlisted", zap.String("id", id), zap.Uint64("revision", itm.Revision()))
+		blc.log.Info("upstream unlisted", zap.String("id", id), gossip.LogPosition(itm.Position()))
 		return
 	}
 	lst, err := platform.ParseServer(id, itm.Value())
 	if err != nil {
-		blc.log.Warn("invalid upstream entry", zap.String("id", id), zap.Uint64("revision", itm.Revision()), zap.Error(err))
+		blc.log.Warn("invalid upstream entry", zap.String("id", id), gossip.LogPosition(itm.Position()), zap.Error(err))
 		return
 	}
-	blc.fleet.PutEntry(fleet.NewUpstream(lst, now), now)
+	blc.fleet.PutEntry(upstreamOf(lst, itm, now), now)
 	blc.log.Info("upstream listed", zap.String("id", id), zap.String("service", lst.Service), zap.Stringer("vm", netip.AddrFrom4(lst.Address)),
-		zap.Bool("draining", lst.Draining), zap.Duration("cold", lst.ColdFor), zap.Bool("serviceNamed", blc.tracker.State() == nil || blc.tracker.State().NamesService(lst.Service)), zap.Uint64("revision", itm.Revision()))
+		zap.Bool("draining", lst.Draining), zap.Bool("doubtful", itm.Mark() == mirror.Doubtful), zap.Duration("cold", lst.ColdFor), zap.Bool("serviceNamed", blc.tracker.State() == nil || blc.tracker.State().NamesService(lst.Service)), gossip.LogPosition(itm.Position()))
+}
+
+// upstreamOf returns the upstream of an entry.
+func upstreamOf(lst fleet.Listing, itm mirror.Item, now time.Time) *fleet.Upstream {
+	ups := fleet.NewUpstream(lst, now)
+	if itm.Mark() == mirror.Doubtful {
+		ups = ups.WithDoubt()
+	}
+	return ups
 }
--- a/io/carry/world_test.go
+++ b/io/carry/world_test.go
@@ -48,6 +48,7 @@
 	revision uint64
 	items    map[string]storeItem
 	changed  chan struct{}
+	era      uint64 // Told in the header of every answer, unless it is 0.
 	down     atomic.Bool
 }
 
@@ -83,12 +84,19 @@
 }
 
 func (sto *storeStandIn) answer(rw http.ResponseWriter, field string, after uint64) {
-	if sto.down.Load() {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	if sto.era > 0 {
+		rw.Header().Set("Store-Era", fmt.Sprint(sto.era))
+	}
+	switch {
+	case sto.down.Load():
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case after > sto.revision:
+		rw.WriteHeader(http.StatusGone)
+		return
 	}
-	sto.mu.Lock()
-	defer sto.mu.Unlock()
 	list := []storeItem{}
 	for _, itm := range sto.items {
 		if itm.Revision > after && (field == "events" || !itm.Deleted) {
@@ -104,7 +112,7 @@
 	fmt.Sscan(req.URL.Query().Get("after"), &after)
 	fmt.Sscan(req.URL.Query().Get("wait-ms"), &wait)
 	sto.mu.Lock()
-	changed, newer := sto.changed, sto.revision > after
+	changed, newer := sto.changed, sto.revision != after
 	sto.mu.Unlock()
 	if !newer {
 		select {
--- a/io/gossip/codec.go
+++ b/io/gossip/codec.go
@@ -20,11 +20,14 @@
 	fieldHistoryAge    protowire.Number = 5 // Age of the start of the history in milliseconds; if absent, the history starts now.
 	fieldFormerService protowire.Number = 6
 	fieldConfirmedAge  protowire.Number = 7 // Milliseconds since the state was last confirmed to be the newest, plus 1; absent if it never was.
+	fieldEra           protowire.Number = 8 // Of the store, at fieldRevision; absent if 0.
 
 	itemKey      protowire.Number = 1
 	itemValue    protowire.Number = 2
 	itemRevision protowire.Number = 3
 	itemDeleted  protowire.Number = 4
+	itemEra      protowire.Number = 5 // Of the store, at itemRevision; absent if 0.
+	itemMark     protowire.Number = 6 // Absent if the item is not marked.
 
 	formerIP        protowire.Number = 1
 	formerPort      protowire.Number = 2
@@ -43,11 +46,11 @@
 // Unwrap returns the cause.
 func (err *CodecError) Unwrap() error { return err.cause }
 
-// update holds the changes between two revisions, or the full state, and the
+// update holds the changes between two positions, or the full state, and the
 // history of former routes.
 type update struct {
-	after    uint64
-	revision uint64
+	after    mirror.Position
+	position mirror.Position
 	full     bool
 	items    []mirror.Item
 
@@ -58,8 +61,9 @@
 // encode encodes the update. Times are sent relative to now, because clocks
 // differ between VMs.
 func (upd update) encode(now time.Time) []byte {
-	buf := appendUint(nil, fieldAfter, upd.after)
-	buf = appendUint(buf, fieldRevision, upd.revision)
+	buf := appendUint(nil, fieldAfter, uint64(upd.after))
+	buf = appendUint(buf, fieldRevision, upd.position.Revision())
+	buf = appendNonzero(buf, fieldEra, upd.position.Era())
 	buf = appendUint(buf, fieldFull, protowire.EncodeBool(upd.full))
 	for _, itm := range upd.items {
 		buf = protowire.AppendTag(buf, fieldItem, protowire.BytesType)
@@ -98,7 +102,9 @@
 	buf = protowire.AppendString(buf, itm.Key())
 	buf = protowire.AppendTag(buf, itemValue, protowire.BytesType)
 	buf = protowire.AppendBytes(buf, itm.Value())
-	buf = appendUint(buf, itemRevision, itm.Revision())
+	buf = appendUint(buf, itemRevision, itm.Position().Revision())
+	buf = appendNonzero(buf, itemEra, itm.Position().Era())
+	buf = appendNonzero(buf, itemMark, uint64(itm.Mark()))
 	return appendUint(buf, itemDeleted, protowire.EncodeBool(itm.Deleted()))
 }
 
@@ -106,17 +112,27 @@
 	return protowire.AppendVarint(protowire.AppendTag(buf, num, protowire.VarintType), value)
 }
 
+func appendNonzero(buf []byte, num protowire.Number, value uint64) []byte {
+	if value == 0 {
+		return buf
+	}
+	return appendUint(buf, num, value)
+}
+
 // decodeUpdate decodes an update and takes now as the time when it was encoded.
 func decodeUpdate(buf []byte, now time.Time) (update, error) {
 	var upd update
 	var fsvs []intent.FormerService
+	var era, revision uint64
 	since := now
 	err := eachField(buf, func(num protowire.Number, value uint64, raw []byte) error {
 		switch num {
 		case fieldAfter:
-			upd.after = value
+			upd.after = mirror.Position(value)
 		case fieldRevision:
-			upd.revision = value
+			revision = value
+		case fieldEra:
+			era = value
 		case fieldFull:
 			upd.full = protowire.DecodeBool(value)
 		case fieldItem:
@@ -139,6 +155,9 @@
 		return nil
 	})
 	upd.history = intent.NewHistory(since, fsvs)
+	if err == nil {
+		upd.position, err = mirror.At(era, revision)
+	}
 	return upd, err
 }
 
@@ -166,7 +185,7 @@
 func decodeItem(buf []byte) (mirror.Item, error) {
 	var key string
 	var val []byte
-	var revision, deleted uint64
+	var revision, era, mark, deleted uint64
 	err := eachField(buf, func(num protowire.Number, value uint64, raw []byte) error {
 		switch num {
 		case itemKey:
@@ -175,15 +194,27 @@
 			val = raw
 		case itemRevision:
 			revision = value
+		case itemEra:
+			era = value
+		case itemMark:
+			mark = value
 		case itemDeleted:
 			deleted = value
 		}
 		return nil
 	})
+	if err != nil {
+		return mirror.Item{}, err
+	}
+	position, err := mirror.At(era, revision)
 	if protowire.DecodeBool(deleted) {
-		return mirror.NewDeletion(key, revision), err
+		return mirror.NewDeletion(key, position), err
+	}
+	itm := mirror.NewItem(key, val, position)
+	if mark <= uint64(mirror.Lacked) { // A mark of a later version is left out.
+		itm = itm.WithMark(mirror.Mark(mark))
 	}
-	return mirror.NewItem(key, val, revision), err
+	return itm, err
 }
 
 // eachField calls visit for every field of a message: with value for a varint,
--- a/io/gossip/join.go
+++ b/io/gossip/join.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"lagoondrum/core/mirror"
 	"lagoondrum/io/logs"
 )
 
@@ -38,7 +39,7 @@
 		sleep(ctx, time.Until(rep.bootstrapAt(time.Now())))
 		for _, idx := range rand.Perm(len(rep.seeds)) { // In random order, so that processes that start together do not all ask the same seed first.
 			go ask(rep.seeds[idx])
-			if rep.awaitSeed(answers, &stale, pullTimeout); rep.Revision() > 0 {
+			if rep.awaitSeed(answers, &stale, pullTimeout); rep.Position() > 0 {
 				return nil
 			}
 		}
@@ -48,7 +49,7 @@
 		go ask(seed)
 	}
 	for range rep.seeds {
-		if !rep.awaitSeed(answers, &stale, joinTimeout) || rep.Revision() > 0 {
+		if !rep.awaitSeed(answers, &stale, joinTimeout) || rep.Position() > 0 {
 			break
 		}
 	}
@@ -62,7 +63,7 @@
 	defer timer.Stop()
 	select {
 	case upd := <-answers:
-		if upd != nil && (*stale == nil || upd.revision > (*stale).revision) {
+		if upd != nil && (*stale == nil || upd.position > (*stale).position) {
 			*stale = upd
 		}
 		return true
@@ -79,7 +80,7 @@
 		rep.log.Info("seed did not answer", zap.Stringer("seed", seed), zap.Error(err))
 		return nil
 	}
-	if upd.revision == 0 || rep.adoptFresh(seed, upd, time.Now()) {
+	if upd.position == 0 || rep.adoptFresh(seed, upd, time.Now()) {
 		return nil
 	}
 	return &upd
@@ -95,8 +96,8 @@
 // adoptFresh adopts a seed's state if its last confirmation is recent, and reports
 // whether it did.
 func (rep *Replica) adoptFresh(seed netip.AddrPort, upd update, now time.Time) bool {
-	fresh := upd.revision > 0 && rep.fresh(upd.confirmedAt, now)
-	rep.log.Info("seed answered", zap.Stringer("seed", seed), zap.Uint64("revision", upd.revision), zap.Bool("adopted", fresh),
+	fresh := upd.position > 0 && rep.fresh(upd.confirmedAt, now)
+	rep.log.Info("seed answered", zap.Stringer("seed", seed), LogPosition(upd.position), zap.Bool("adopted", fresh),
 		zap.Bool("historyComplete", upd.history.Complete(now)), logs.Age("age", upd.confirmedAt, now))
 	if fresh {
 		rep.adoptFromPeer(upd, now)
@@ -106,7 +107,7 @@
 
 // mergeHistory fetches the history of former routes from a peer and merges it. Once
 // the history of this process is complete, it stops further requests.
-func (rep *Replica) mergeHistory(source netip.AddrPort, after uint64) {
+func (rep *Replica) mergeHistory(source netip.AddrPort, after mirror.Position) {
 	complete := rep.history.History(time.Now()).Complete(time.Now())
 	var upd update
 	var err error
--- a/io/gossip/news.go
+++ b/io/gossip/news.go
@@ -11,23 +11,23 @@
 type News struct {
 	items    []mirror.Item
 	origin   Origin
-	revision uint64
+	position mirror.Position
 }
 
-// Revision returns the platform's revision that the state reflects with the changes.
-func (nws News) Revision() uint64 { return nws.revision }
+// Position returns the position that the state reflects with the changes.
+func (nws News) Position() mirror.Position { return nws.position }
 
-// Items returns the changed items in the order of their revisions.
+// Items returns the changed items in the order of their positions.
 func (nws News) Items() []mirror.Item { return nws.items }
 
 // Origin returns where the changes come from.
 func (nws News) Origin() Origin { return nws.origin }
 
-// Origin is where changes come from: Watched, Read or Told.
+// Origin is where changes come from: Watched, Read, Told or Settled.
 type Origin interface{ origin() }
 
 // Watched is the origin of changes from a watch of the platform, which returns
-// every change after the replica's revision.
+// every change after the replica's position.
 type Watched struct{}
 
 // Read is the origin of a full state from the platform, which lacks the states
@@ -40,6 +40,10 @@
 	completeUntil time.Time
 }
 
+// Settled is the origin of deletions of items that the store has lacked since it
+// returned from a copy.
+type Settled struct{}
+
 // History returns the peer's history of former routes.
 func (tld Told) History() intent.History { return tld.history }
 
@@ -50,6 +54,7 @@
 func (Watched) origin() {}
 func (Read) origin()    {}
 func (Told) origin()    {}
+func (Settled) origin() {}
 
 // Past provides the history of former routes.
 type Past interface {
--- a/io/gossip/replica.go
+++ b/io/gossip/replica.go
@@ -1,6 +1,6 @@
 // Package gossip keeps a process's replica of the platform's state up to date. A
 // few processes read the platform; the others fetch changes from peers whose
-// heartbeats report a newer revision.
+// heartbeats report a newer position.
 package gossip
 
 import (
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"slices"
 	"strconv"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"lagoondrum/core/epoch"
 	"lagoondrum/core/mirror"
 	"lagoondrum/io/logs"
 )
@@ -37,16 +39,19 @@
 // Store is the platform's store of items.
 type Store interface {
 	// State returns every item.
-	State(ctx context.Context) (revision uint64, items []mirror.Item, err error)
-	// Changes returns the changes after a revision, and waits up to wait for the first
-	// one.
-	Changes(ctx context.Context, after uint64, wait time.Duration) (revision uint64, items []mirror.Item, err error)
+	State(ctx context.Context) (position mirror.Position, items []mirror.Item, err error)
+	// Changes returns the changes after a position, and waits up to wait for the first
+	// one. If the position that it returns is in a higher era, the changes are those
+	// after the same revision there.
+	Changes(ctx context.Context, after mirror.Position, wait time.Duration) (position mirror.Position, items []mirror.Item, err error)
+	// Era returns the highest era that an answer has told, also one that was an error.
+	Era() uint64
 	// Close closes the connections.
 	Close()
 }
 
 // Lost reports whether an error means that the platform no longer has the changes
-// after the requested revision.
+// after the requested position.
 type Lost func(err error) bool
 
 // Apply handles changes. It is called from the replica's goroutines, one call at a
@@ -71,10 +76,12 @@
 	policy          *mirror.ReaderPolicy
 	reading         bool
 	pulling         bool
-	source          netip.AddrPort // The peer that pull fetches from.
-	sourceRevision  uint64         // Revision that source reported.
-	firstRevision   uint64         // Every state from this revision on has been seen.
-	historyRequests int            // Requests for former routes so far, or maxHistoryRequests when the history is complete.
+	source          netip.AddrPort  // The peer that pull fetches from.
+	sourcePosition  mirror.Position // That source reported.
+	firstPosition   mirror.Position // Every state from this position on has been seen.
+	recovery        epoch.Recovery  // Of the store since the era of the mirror began.
+	eraChanges      uint64
+	historyRequests int // Requests for former routes so far, or maxHistoryRequests when the history is complete.
 	apply           Apply
 	calls           uint64
 }
@@ -116,11 +123,11 @@
 // former routes that peers are sent. It must be called before Serve.
 func (rep *Replica) OnChange(apl Apply, pst Past) { rep.apply, rep.history = apl, pst }
 
-// Revision returns the platform's revision that the state reflects.
-func (rep *Replica) Revision() uint64 {
+// Position returns the position that the state reflects.
+func (rep *Replica) Position() mirror.Position {
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
-	return rep.mirror.Revision()
+	return rep.mirror.Position()
 }
 
 // ConfirmedAt returns when the state was last known to be the newest.
@@ -159,11 +166,11 @@
 	return rep.policy.Balancers(now)
 }
 
-// ServeHTTP answers a peer that requests the changes after a revision.
+// ServeHTTP answers a peer that requests the changes after a position.
 func (rep *Replica) ServeHTTP(rw http.ResponseWriter, req *http.Request) {
-	after, err := strconv.ParseUint(req.URL.Query().Get("after"), 10, 64)
+	after, err := rep.requestedPosition(req.URL.Query())
 	if err != nil {
-		http.Error(rw, "after is not a revision", http.StatusBadRequest)
+		http.Error(rw, "after is not a revision, or era not an era", http.StatusBadRequest)
 		return
 	}
 	now := time.Now()
@@ -172,51 +179,71 @@
 	}
 }
 
-// updateSince returns the changes after a revision, with the history of former
+// requestedPosition returns the position after which a peer requests changes. A peer of
+// the earlier version tells no era, as it orders states by their revisions alone.
+func (rep *Replica) requestedPosition(query url.Values) (mirror.Position, error) {
+	revision, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	era := rep.Position().Era()
+	if query.Has("era") {
+		if era, err = strconv.ParseUint(query.Get("era"), 10, 64); err != nil {
+			return 0, err
+		}
+	}
+	return mirror.At(era, min(revision, mirror.MaxRevision))
+}
+
+// updateSince returns the changes after a position, with the history of former
 // routes as of the same state.
-func (rep *Replica) updateSince(after uint64, now time.Time) update {
+func (rep *Replica) updateSince(after mirror.Position, now time.Time) update {
 	rep.applyMu.Lock()
 	defer rep.applyMu.Unlock()
 	his := rep.history.History(now)
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
 	items, full := rep.mirror.ChangesSince(after)
-	return update{after: after, revision: rep.mirror.Revision(), full: full, items: items, history: his, confirmedAt: rep.policy.ConfirmedAt()}
+	return update{after: after, position: rep.mirror.Position(), full: full, items: items, history: his, confirmedAt: rep.policy.ConfirmedAt()}
 }
 
 // adoptFromPeer adopts an update from a peer.
 func (rep *Replica) adoptFromPeer(upd update, now time.Time) {
 	rep.applyMu.Lock()
 	defer rep.applyMu.Unlock()
-	if upd.revision < rep.seenSince() {
-		rep.log.Info("state of a peer is older than the first one here", zap.Uint64("revision", upd.revision))
+	if upd.position < rep.seenSince() {
+		rep.log.Info("state of a peer is older than the first one here", LogPosition(upd.position))
 		return // States between the two may have been missed, so the histories do not join.
 	}
 	covered := rep.ConfirmedAt()
 	rep.adopt(upd, Told{history: upd.history, completeUntil: covered}, now)
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
-	if upd.revision == rep.mirror.Revision() {
+	if upd.position == rep.mirror.Position() {
 		rep.policy.NoteConfirmed(upd.confirmedAt)
 	}
 }
 
-// adoptFromPlatform adopts an answer of the platform.
-func (rep *Replica) adoptFromPlatform(upd update, now time.Time) {
+// adoptFromPlatform adopts an answer of the platform. The error is an *OldEraError.
+func (rep *Replica) adoptFromPlatform(upd update, now time.Time) error {
 	rep.applyMu.Lock()
 	defer rep.applyMu.Unlock()
+	if known := rep.Position(); upd.position.Era() < known.Era() {
+		return &OldEraError{told: upd.position.Era(), known: known.Era()}
+	}
 	if upd.full {
 		rep.adopt(upd, Read{}, now)
 	} else {
 		rep.adopt(upd, Watched{}, now)
 	}
+	return nil
 }
 
-// seenSince returns the revision from which on the replica has seen every state.
-func (rep *Replica) seenSince() uint64 {
+// seenSince returns the position from which on the replica has seen every state.
+func (rep *Replica) seenSince() mirror.Position {
 	rep.mu.Lock()
 	defer rep.mu.Unlock()
-	return rep.firstRevision
+	return rep.firstPosition
 }
 
 // continues reports whether an update continues the states that the replica has seen
@@ -236,21 +263,22 @@
 // is held.
 func (rep *Replica) adopt(upd update, org Origin, now time.Time) {
 	rep.mu.Lock()
-	before := rep.mirror.Revision()
+	before := rep.mirror.Position()
 	var applied []mirror.Item
 	if upd.full {
-		applied = rep.mirror.Replace(upd.revision, upd.items)
+		applied = rep.mirror.Replace(upd.position, upd.items)
 	} else {
-		applied, _ = rep.mirror.Update(upd.after, upd.revision, upd.items)
+		applied, _ = rep.mirror.Update(upd.after, upd.position, upd.items)
 	}
-	revision := rep.mirror.Revision()
-	advanced := revision != before
+	position := rep.mirror.Position()
+	advanced := position != before
 	if before == 0 || advanced && !continues(org, rep.policy.ConfirmedAt()) {
-		rep.firstRevision = revision
+		rep.firstPosition = position
 	}
+	rep.noteEra(before, position, now)
 	rep.mu.Unlock()
 	if _, fromPeer := org.(Told); fromPeer || advanced || len(applied) > 0 {
-		rep.apply(News{items: applied, origin: org, revision: revision}, now)
+		rep.apply(News{items: applied, origin: org, position: position}, now)
 	}
 }
 
@@ -261,6 +289,7 @@
 	stale := rep.join(ctx)
 	delay := retryDelay
 	for ctx.Err() == nil {
+		rep.settle(time.Now())
 		if !rep.shouldRead(time.Now()) {
 			sleep(ctx, policyInterval)
 			continue
@@ -290,39 +319,42 @@
 	reads := rep.policy.Reads(now)
 	if reads != rep.reading {
 		rep.reading = reads
-		rep.log.Info("reading the platform", zap.Bool("reads", reads), zap.Uint64("revision", rep.mirror.Revision()),
+		rep.log.Info("reading the platform", zap.Bool("reads", reads), LogPosition(rep.mirror.Position()),
 			logs.Age("age", rep.policy.ConfirmedAt(), now), zap.Bool("seed", rep.policy.Seed()), zap.Int("otherReaders", rep.policy.Readers(now)))
 	}
 	return reads
 }
 
 // read makes one call to the platform: for the full state at first and when the
-// platform has dropped its history, otherwise for changes.
+// platform has dropped its history or is in another era, otherwise for changes.
 func (rep *Replica) read(ctx context.Context) error {
-	after := rep.Revision()
-	if after == 0 {
+	after := rep.Position()
+	if after == 0 || rep.store.Era() > after.Era() {
 		return rep.readFull(ctx)
 	}
-	revision, items, err := rep.store.Changes(ctx, after, watchTimeout)
-	if err != nil && rep.historyLost(err) {
-		rep.log.Info("platform dropped its history", zap.Uint64("revision", after))
+	position, items, err := rep.store.Changes(ctx, after, watchTimeout)
+	switch {
+	case err != nil && rep.historyLost(err):
+		rep.log.Info("platform dropped its history", LogPosition(after))
+		return rep.readFull(ctx)
+	case err != nil:
+		return err
+	case position.Era() > after.Era():
 		return rep.readFull(ctx)
 	}
-	if err == nil {
-		rep.adoptFromPlatform(update{after: after, revision: revision, items: items}, time.Now())
-		if len(items) > 0 {
-			sleep(ctx, batchDelay)
-		}
+	err = rep.adoptFromPlatform(update{after: after, position: position, items: items}, time.Now())
+	if len(items) > 0 {
+		sleep(ctx, batchDelay)
 	}
 	return err
 }
 
 func (rep *Replica) readFull(ctx context.Context) error {
-	revision, items, err := rep.store.State(ctx)
-	if err == nil {
-		rep.adoptFromPlatform(update{revision: revision, full: true, items: items}, time.Now())
+	position, items, err := rep.store.State(ctx)
+	if err != nil {
+		return err
 	}
-	return err
+	return rep.adoptFromPlatform(update{position: position, full: true, items: items}, time.Now())
 }
 
 // noteCall records the result of a call to the platform, and logs when the platform
--- a/io/gossip/replica_test.go
+++ b/io/gossip/replica_test.go
@@ -27,31 +27,36 @@
 // fakeStore is a Store that returns the fields' values.
 type fakeStore struct {
 	mu         sync.Mutex
-	revision   uint64
+	revision   mirror.Position
 	items      []mirror.Item
 	changesErr error
 	calls      int
 }
 
-func (sto *fakeStore) State(context.Context) (uint64, []mirror.Item, error) {
+func (sto *fakeStore) State(context.Context) (mirror.Position, []mirror.Item, error) {
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
 	sto.calls++
 	return sto.revision, sto.items, nil
 }
 
-func (sto *fakeStore) Changes(_ context.Context, after uint64, _ time.Duration) (uint64, []mirror.Item, error) {
+func (sto *fakeStore) Changes(_ context.Context, after mirror.Position, _ time.Duration) (mirror.Position, []mirror.Item, error) {
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
 	sto.calls++
 	if sto.changesErr != nil {
 		return 0, nil, sto.changesErr
 	}
+	if sto.revision.Era() != after.Era() {
+		return sto.revision, nil, nil
+	}
 	return max(after, sto.revision), nil, nil
 }
 
 func (sto *fakeStore) Close() {}
 
+func (sto *fakeStore) Era() uint64 { return sto.revision.Era() }
+
 // recorder records the changes that a replica passes on.
 type recorder struct {
 	mu      sync.Mutex
@@ -97,7 +102,7 @@
 	assert.NilError(t, rep.read(context.Background()))
 	sto.revision, sto.items, sto.changesErr = 9, []mirror.Item{mirror.NewItem("b", []byte("2"), 9)}, errHistoryLost
 	assert.NilError(t, rep.read(context.Background()))
-	assert.Equal(t, rep.Revision(), uint64(9))
+	assert.Equal(t, rep.Position(), mirror.Position(9))
 	assert.DeepEqual(t, rec.recordedKeys(), []string{"a", "b", "a"}) // The second "a" is its deletion.
 }
 
@@ -111,14 +116,14 @@
 
 func TestReplicaCatchesUpFromAPeer(t *testing.T) {
 	ahead, _ := newReplica(&fakeStore{})
-	ahead.adoptFromPlatform(update{revision: 7, full: true, items: []mirror.Item{mirror.NewItem("a", []byte("1"), 6), mirror.NewDeletion("b", 7)}}, time.Now())
+	ahead.adoptFromPlatform(update{position: 7, full: true, items: []mirror.Item{mirror.NewItem("a", []byte("1"), 6), mirror.NewDeletion("b", 7)}}, time.Now())
 	srv := httptest.NewServer(http.HandlerFunc(ahead.ServeHTTP))
 	defer srv.Close()
 	behind, rec := newReplica(&fakeStore{})
 	from := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
 	now := time.Now()
 	behind.Heard(from, true, mirror.NewClaims(now, true, false, false), 7, now)
-	for deadline := now.Add(10 * time.Second); behind.Revision() != 7; time.Sleep(time.Millisecond) {
+	for deadline := now.Add(10 * time.Second); behind.Position() != 7; time.Sleep(time.Millisecond) {
 		assert.Assert(t, time.Now().Before(deadline))
 	}
 	assert.DeepEqual(t, rec.recordedKeys(), []string{"a", "b"})
@@ -132,7 +137,7 @@
 	now := time.Now()
 	long := intent.NewHistory(now.Add(-time.Hour), nil)
 	for name, tc := range map[string]struct {
-		revision uint64 // Of the peer; that of the process is 7 since its start.
+		revision mirror.Position // Of the peer; that of the process is 7 since its start.
 		merged   bool
 	}{
 		"older than the own first state": {6, false},
@@ -141,18 +146,18 @@
 		t.Run(name, func(t *testing.T) {
 			peer, past := newReplica(&fakeStore{})
 			past.history = long
-			peer.adoptFromPlatform(update{revision: tc.revision, full: true}, now)
+			peer.adoptFromPlatform(update{position: tc.revision, full: true}, now)
 			srv := httptest.NewServer(http.HandlerFunc(peer.ServeHTTP))
 			defer srv.Close()
 			from := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
 			rep, rec := newReplica(&fakeStore{})
-			rep.adoptFromPlatform(update{revision: 7, full: true}, now)
+			rep.adoptFromPlatform(update{position: 7, full: true}, now)
 			rep.Heard(from, false, mirror.NewClaims(now, true, false, false), tc.revision, now)
 			for deadline := now.Add(10 * time.Second); rep.busy(); time.Sleep(time.Millisecond) {
 				assert.Assert(t, time.Now().Before(deadline))
 			}
 			assert.Equal(t, rec.History(now).Complete(now), tc.merged)
-			rep.adoptFromPeer(update{revision: tc.revision, history: long}, now)
+			rep.adoptFromPeer(update{position: tc.revision, history: long}, now)
 			assert.Equal(t, rec.History(now).Complete(now), tc.merged)
 		})
 	}
@@ -180,7 +185,7 @@
 func TestReplicaJoinsFromASeed(t *testing.T) {
 	for name, tc := range map[string]struct {
 		confirmed time.Duration
-		want      uint64
+		want      mirror.Position
 		stale     bool
 	}{
 		"seed up to date": {0, 7, false},
@@ -190,7 +195,7 @@
 			now := time.Now()
 			seed, old := newReplica(&fakeStore{})
 			old.history = intent.NewHistory(now.Add(-time.Hour), []intent.FormerService{intent.NewFormerService(flow.Endpoint{}, "feed", now.Add(time.Minute))})
-			seed.adoptFromPlatform(update{revision: 7, full: true, items: []mirror.Item{mirror.NewItem("a", []byte("1"), 6)}}, now)
+			seed.adoptFromPlatform(update{position: 7, full: true, items: []mirror.Item{mirror.NewItem("a", []byte("1"), 6)}}, now)
 			seed.noteCall(nil)
 			seed.policy = mirror.NewReaderPolicy([4]byte{}, true, nil, maxAge)
 			seed.policy.NoteConfirmed(now.Add(-tc.confirmed))
@@ -199,7 +204,7 @@
 			rep, rec := newReplica(&fakeStore{})
 			rep.seeds = []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))}
 			stale := rep.join(context.Background())
-			assert.Equal(t, rep.Revision(), tc.want)
+			assert.Equal(t, rep.Position(), tc.want)
 			assert.Equal(t, stale != nil, tc.stale)
 			assert.Equal(t, len(rec.History(now).FormerServices()) == 1, !tc.stale)
 		})
@@ -209,12 +214,14 @@
 func FuzzDecodeUpdate(f *testing.F) {
 	now := time.Now()
 	his := intent.NewHistory(now.Add(-time.Minute), []intent.FormerService{intent.NewFormerService(flow.NewEndpoint([4]byte{198, 18, 0, 1}, 443), "feed", now.Add(time.Second))})
-	f.Add(update{after: 1, revision: 2, full: true, items: []mirror.Item{mirror.NewItem("a", []byte("1"), 2)}, history: his, confirmedAt: now}.encode(now))
+	f.Add(update{after: 1, position: 2, full: true, items: []mirror.Item{mirror.NewItem("a", []byte("1"), 2)}, history: his, confirmedAt: now}.encode(now))
+	f.Add(update{position: 1<<48 + 2, items: []mirror.Item{mirror.NewItem("a", []byte("1"), 2).WithMark(mirror.Lacked)}, history: his}.encode(now))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		if upd, err := decodeUpdate(raw, now); err == nil {
 			again, err := decodeUpdate(upd.encode(now), now)
 			assert.NilError(t, err)
 			assert.Equal(t, len(again.items), len(upd.items))
+			assert.Equal(t, again.position, upd.position)
 			assert.Equal(t, len(again.history.FormerServices()), len(upd.history.FormerServices()))
 		}
 	})
