--- a/core/evac/evac.go
+++ b/core/evac/evac.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"lagoondrum/core/mirror"
 )
 
 // Source is where a process has an order from.
@@ -28,21 +30,21 @@
 // Order is the order to evacuate an availability zone.
 type Order struct {
 	zone     string
-	revision uint64
+	position mirror.Position
 	since    time.Time
 	source   Source
 }
 
 // NewOrder returns the order to evacuate a zone that a process learns at now.
-func NewOrder(zone string, revision uint64, src Source, now time.Time) Order {
-	return Order{zone: zone, revision: revision, since: now, source: src}
+func NewOrder(zone string, pos mirror.Position, src Source, now time.Time) Order {
+	return Order{zone: zone, position: pos, since: now, source: src}
 }
 
 // Zone returns the availability zone that is evacuated.
 func (ord Order) Zone() string { return ord.zone }
 
-// Revision returns the platform's revision at which the order last changed.
-func (ord Order) Revision() uint64 { return ord.revision }
+// Position returns the position of the platform's state at which the order last changed.
+func (ord Order) Position() mirror.Position { return ord.position }
 
 // Since returns since when the order is in force at this process.
 func (ord Order) Since() time.Time { return ord.since }
--- a/core/evac/example_test.go
+++ b/core/evac/example_test.go
@@ -14,7 +14,7 @@
 	fmt.Println(ods.Put(evac.NewOrder("north", 7, evac.Platform, start)))
 	fmt.Println(ods.Put(evac.NewOrder("north", 9, evac.Peer, start.Add(time.Second))))
 	for _, ord := range ods.All() {
-		fmt.Println(ord.Zone(), ord.Revision(), ord.Since().Sub(start), ord.Source())
+		fmt.Println(ord.Zone(), ord.Position(), ord.Since().Sub(start), ord.Source())
 	}
 	_, removed := ods.Remove("north")
 	fmt.Println(removed, ods.InForce("north"))
--- a/core/fleet/agent.go
+++ b/core/fleet/agent.go
@@ -33,6 +33,7 @@
 	incarnation     uint64
 	misses          int       // Unanswered openings in a row.
 	avoidUntil      time.Time // Until when new flows avoid the agent.
+	vouched         bool      // The agent was heard, beside an upstream of the service that is listed here.
 	lapsedUntil     time.Time // Until when the agent is kept after its entry has gone; zero while it is listed.
 }
 
@@ -88,6 +89,7 @@
 	if hdr.Kind() != encap.Heartbeat {
 		return changed
 	}
+	agt.vouched = agt.vouched || hdr.Service() == agt.serviceID
 	if hdr.Restarting() {
 		agt.restartUntil = now.Add(restartGrace)
 	} else if hdr.Incarnation() != agt.incarnation {
@@ -124,10 +126,11 @@
 	Leaving                // The agent said that it stops.
 	UpstreamDown           // The agent said that its upstream does not run.
 	Evacuated              // The upstream's availability zone is evacuated.
+	Unconfirmed            // The upstream may have left, and its agent was not heard yet.
 	exclusionEnd
 )
 
-var exclusionNames = [exclusionEnd]string{"none", "draining", "leaving", "upstreamDown", "evacuated"}
+var exclusionNames = [exclusionEnd]string{"none", "draining", "leaving", "upstreamDown", "evacuated", "unconfirmed"}
 
 // String returns the exclusion's name in logs.
 func (exc Exclusion) String() string { return exclusionNames[exc] }
@@ -143,6 +146,8 @@
 		return UpstreamDown
 	case agt.evacuated:
 		return Evacuated
+	case agt.upstream.doubtful && !agt.vouched:
+		return Unconfirmed
 	default:
 		return NotExcluded
 	}
--- a/core/fleet/evacuation.go
+++ b/core/fleet/evacuation.go
@@ -65,7 +65,7 @@
 			return false
 		case Evacuated:
 			found = true
-		case Draining, Leaving, UpstreamDown:
+		case Draining, Leaving, UpstreamDown, Unconfirmed:
 		}
 	}
 	return found
--- a/core/fleet/evacuation_test.go
+++ b/core/fleet/evacuation_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"lagoondrum/core/evac"
+	"lagoondrum/core/mirror"
 )
 
 func putInZone(flt *Fleet, vm byte, zone string, draining bool) {
@@ -82,6 +83,6 @@
 	}
 	flt.rebuild()
 	for at := range b.N {
-		flt.Evacuate(evac.NewOrder("b", uint64(at), evac.Platform, time.Time{}))
+		flt.Evacuate(evac.NewOrder("b", mirror.Position(at), evac.Platform, time.Time{}))
 	}
 }
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -121,7 +121,8 @@
 // Hints returns the number of remembered flows.
 func (tbl *Table) Hints() int { return len(tbl.recent) + len(tbl.older) }
 
-// SetRevision sets the revision of the platform's state that the fleet reflects. Flows
+// SetRevision sets the revision of the platform's state that the fleet reflects, as a
+// number that also rises when the store returns from a copy (mirror.Position). Flows
 // that every agent denies are reset then, if only the lagging state held that up.
 func (tbl *Table) SetRevision(revision uint64, now time.Time) {
 	lagged := tbl.lags()
--- a/io/carry/evacuation.go
+++ b/io/carry/evacuation.go
@@ -23,7 +23,7 @@
 		case itm.Deleted():
 			bas.takeBack(flt, zone, itm, src, now)
 		default:
-			bas.evacuate(flt, evac.NewOrder(zone, itm.Revision(), src, now), itm.Value())
+			bas.evacuate(flt, evac.NewOrder(zone, itm.Position(), src, now), itm.Value())
 		}
 	}
 }
@@ -40,10 +40,10 @@
 
 func (bas *base) evacuate(flt *fleet.Fleet, ord evac.Order, value []byte) {
 	if err := platform.CheckEvacuation(value); err != nil {
-		bas.log.Warn("value of an evacuation is not used", zap.String("zone", ord.Zone()), zap.Uint64("revision", ord.Revision()), zap.Error(err))
+		bas.log.Warn("value of an evacuation is not used", zap.String("zone", ord.Zone()), gossip.LogPosition(ord.Position()), zap.Error(err))
 	}
 	fresh, upstreams := flt.Evacuate(ord), flt.InZone(ord.Zone())
-	fields := []zap.Field{zap.String("zone", ord.Zone()), zap.Uint64("revision", ord.Revision()), zap.Int("upstreams", upstreams), zap.Stringer("source", ord.Source())}
+	fields := []zap.Field{zap.String("zone", ord.Zone()), gossip.LogPosition(ord.Position()), zap.Int("upstreams", upstreams), zap.Stringer("source", ord.Source())}
 	switch {
 	case fresh && upstreams == 0:
 		bas.log.Warn("zone evacuated in which no upstream is listed", fields...)
@@ -54,8 +54,8 @@
 
 func (bas *base) takeBack(flt *fleet.Fleet, zone string, itm mirror.Item, src evac.Source, now time.Time) {
 	if ord, evacuated := flt.TakeBack(zone); evacuated {
-		bas.log.Info("zone taken back", zap.String("zone", zone), zap.Uint64("revision", itm.Revision()), zap.Int("upstreams", flt.InZone(zone)), zap.Stringer("source", src),
-			zap.Uint64("orderRevision", ord.Revision()), zap.Stringer("orderSource", ord.Source()), zap.Duration("evacuatedFor", now.Sub(ord.Since())))
+		bas.log.Info("zone taken back", zap.String("zone", zone), gossip.LogPosition(itm.Position()), zap.Int("upstreams", flt.InZone(zone)), zap.Stringer("source", src),
+			zap.Uint64("orderRevision", ord.Position().Revision()), zap.Stringer("orderSource", ord.Source()), zap.Duration("evacuatedFor", now.Sub(ord.Since())))
 	}
 }
 
--- a/io/carry/evacuation_test.go
+++ b/io/carry/evacuation_test.go
@@ -26,7 +26,7 @@
 // over for the changes of the platform.
 func TestEvacuationsOfAMirror(t *testing.T) {
 	order := func(key, value string, revision uint64) mirror.Item {
-		return mirror.NewItem(key, []byte(value), revision)
+		return mirror.NewItem(key, []byte(value), mirror.Position(revision))
 	}
 	for name, tc := range map[string]struct {
 		changes func(mir *mirror.Mirror, apply func([]mirror.Item))
