Limit what upstreams get while they are cold

Upstreams that have just started are idle, so balancers that choose by load all turn to them; the platform bounds what they may get in any second, from all balancers together. Change: the agent beside an upstream holds the limit in a window that slides (core/warm) and refuses openings beyond it; balancers estimate the room from heartbeats and leave upstreams without room out; openings name the limit for agents that have just started. A rate that is no number or negative no longer makes a desired state invalid; it is ignored and logged. On only where the desired state states a rate and the settings an overage.

--- a/core/encap/header.go
+++ b/core/encap/header.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -111,7 +112,7 @@
 	key         flow.Key
 	seq         uint32 // Upstream's first sequence number; in a heartbeat the age of the sender's state in milliseconds.
 	load        Load
-	incarnation uint64       // Only in heartbeats.
+	incarnation uint64       // In heartbeats; in Open the limit of a cold upstream plus 1, 0 when there is none.
 	revision    uint64       // Of the platform's state at the sender; not in Open.
 	urgency     flow.Urgency // Of the route; only in Open.
 }
@@ -195,6 +196,21 @@
 // its upstream is full; the first request then waits.
 func (hdr Header) WithQueueIfFull() Header { hdr.flags |= flagQueueIfFull; return hdr }
 
+// WithColdLimit returns the header of an opening to an upstream that the sender takes for
+// cold, with the limit of its openings in any second.
+func (hdr Header) WithColdLimit(limit int) Header {
+	hdr.incarnation = uint64(limit) + 1
+	return hdr
+}
+
+// ColdLimit returns the limit that an opening names, and false if it names none.
+func (hdr Header) ColdLimit() (limit int, ok bool) {
+	if hdr.kind != Open || hdr.incarnation == 0 || hdr.incarnation > math.MaxUint16 {
+		return 0, false
+	}
+	return int(hdr.incarnation) - 1, true
+}
+
 // WithRevision returns the header with the revision of the platform's state that the
 // sender holds. Open carries none.
 func (hdr Header) WithRevision(revision uint64) Header { hdr.revision = revision; return hdr }
--- a/core/encap/header_test.go
+++ b/core/encap/header_test.go
@@ -14,7 +14,7 @@
 func TestHeaderRoundTrip(t *testing.T) {
 	for name, hdr := range map[string]Header{
 		"refusal":   New(Refused, 7, key).WithReason(Bounced).WithLoad(NewLoad(24, 9)).WithUpstreamDown(),
-		"opening":   New(Open, 7, key).WithUrgency(flow.NewUrgency(3, 250*time.Millisecond, 2500*time.Millisecond)).WithQueueIfFull(),
+		"opening":   New(Open, 7, key).WithUrgency(flow.NewUrgency(3, 250*time.Millisecond, 2500*time.Millisecond)).WithQueueIfFull().WithColdLimit(65),
 		"opened":    New(Opened, 7, key).WithSeq(5000),
 		"heartbeat": NewHeartbeat(7, 1<<60, 12).WithLeaving(true).WithPlatformReachable().WithStateConfirmed().WithSeed(),
 	} {
--- a/core/fleet/agent.go
+++ b/core/fleet/agent.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lagoondrum/core/encap"
+	"lagoondrum/core/warm"
 )
 
 // Timeouts and limits by which a balancer judges an agent.
@@ -33,6 +34,9 @@
 	misses          int       // Unanswered openings in a row.
 	avoidUntil      time.Time // Until when new flows avoid the agent.
 	lapsedUntil     time.Time // Until when the agent is kept after its entry has gone; zero while it is listed.
+	coldLimit       int       // Openings that the upstream may get in any second while it is cold.
+	coldLimited     bool
+	coldRoom        warm.Room
 }
 
 // Upstream returns the upstream beside the agent.
@@ -59,6 +63,9 @@
 func (agt *Agent) NoteOpeningSent(now time.Time) {
 	agt.pending++
 	agt.NoteMessageSent(now)
+	if limit, ok := agt.ColdLimit(now); ok {
+		agt.coldRoom = agt.coldRoom.Sent(limit, now)
+	}
 }
 
 // NoteMessageSent records that the agent was sent a message that it has to answer.
@@ -88,6 +95,7 @@
 		agt.restartUntil = time.Time{}
 		agt.misses = 0
 		agt.avoidUntil = time.Time{}
+		agt.coldRoom = warm.Room{}
 	}
 	return changed
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -10,6 +10,7 @@
 
 	"lagoondrum/core/encap"
 	"lagoondrum/core/intent"
+	"lagoondrum/core/warm"
 )
 
 // lapseGrace is how long an upstream is kept after its entry has gone, while its
@@ -19,11 +20,12 @@
 
 // Fleet holds the known upstreams and agents.
 type Fleet struct {
-	upstreams map[string]*Upstream // By the entry's name.
-	agents    map[[4]byte]*Agent   // By the IP address of the VM.
-	services  map[string][]*Agent  // By the service's name, each sorted by IP address.
-	all       []*Agent             // Sorted by IP address.
-	state     *intent.State        // The desired state in force; nil before the first one.
+	upstreams  map[string]*Upstream // By the entry's name.
+	agents     map[[4]byte]*Agent   // By the IP address of the VM.
+	services   map[string][]*Agent  // By the service's name, each sorted by IP address.
+	all        []*Agent             // Sorted by IP address.
+	state      *intent.State        // The desired state in force; nil before the first one.
+	coldBounds warm.Bounds
 }
 
 // New returns an empty fleet.
@@ -145,6 +147,7 @@
 		agt.avoidUntil = time.Time{}
 		agt.load = encap.Load{}
 		agt.pending = 0
+		agt.coldRoom = warm.Room{}
 	}
 	agt.upstream = ups
 	agt.serviceID = encap.ServiceID(ups.service)
@@ -159,6 +162,7 @@
 	slices.SortFunc(flt.all, func(one, other *Agent) int { return bytes.Compare(one.upstream.address[:], other.upstream.address[:]) })
 	clear(flt.services)
 	for _, agt := range flt.all {
+		flt.setColdLimit(agt)
 		name := agt.upstream.service
 		flt.services[name] = append(flt.services[name], agt)
 	}
--- a/core/fleet/upstream.go
+++ b/core/fleet/upstream.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Upstream is an upstream as the platform lists it.
 type Upstream struct {
@@ -90,5 +93,13 @@
 	return ups.id == other.id && ups.service == other.service && ups.startMillis == other.startMillis
 }
 
+// Incarnation returns a text that differs between two runs of an upstream.
+func (ups *Upstream) Incarnation() string {
+	return ups.service + "/" + ups.id + "/" + strconv.FormatInt(ups.startMillis, 10)
+}
+
+// ColdUntil returns until when the upstream is slow after its start.
+func (ups *Upstream) ColdUntil() time.Time { return ups.coldUntil }
+
 // Cold reports whether the upstream is still slow after its start.
 func (ups *Upstream) Cold(now time.Time) bool { return now.Before(ups.coldUntil) }
--- a/core/flows/admission.go
+++ b/core/flows/admission.go
@@ -195,6 +195,7 @@
 	tbl.unanswered[key] = rec
 	rec.deliveredAt = now
 	tbl.expectRequest(key, now)
+	tbl.cold.Count(now)
 	tbl.deliver(key, pkt, raw, now)
 }
 
--- a/core/flows/balancer.go
+++ b/core/flows/balancer.go
@@ -52,8 +52,15 @@
 		tbl.notify(from, encap.New(encap.Refused, hdr.Service(), key).WithReason(rsn), nil, now)
 		return
 	}
+	if limit, ok := hdr.ColdLimit(); ok {
+		tbl.cold.NoteTold(limit, now)
+	}
+	if !tbl.cold.Open(now) { // Copies of an opening count too.
+		tbl.refuseCold(key, pkt, from, now)
+		return
+	}
 	rec := tbl.records[key]
-	if rec == nil || rec.clientISN != pkt.Seq() || rec.phase == closed || rec.phase == trying {
+	if rec == nil || !rec.isOpenedBy(pkt) {
 		tbl.remove(key, now)
 		sentAt := now.Add(-sendOffsets[min(int(pkt.Ack()), len(sendOffsets)-1)]) // The ack of an opening packet counts the copies sent before.
 		if tbl.refusesOpening(key, hdr, sentAt, now) {
@@ -69,12 +76,18 @@
 	}
 	rec.balancer = from
 	tbl.noteActivity(rec, now)
+	tbl.cold.Count(now)
 	tbl.deliver(key, pkt, raw, now)
 	if rec.accepted {
 		tbl.notifyOpened(key, rec, now)
 	}
 }
 
+// isOpenedBy reports whether an opening packet is a copy of the one that began the flow.
+func (rec *record) isOpenedBy(pkt flow.Packet) bool {
+	return rec.clientISN == pkt.Seq() && rec.phase != closed && rec.phase != trying
+}
+
 // refusalReason returns why a flow cannot be opened, NoReason if it can.
 func (tbl *Table) refusalReason(hdr encap.Header) encap.Reason {
 	switch {
@@ -186,6 +199,7 @@
 		rec.clientAck = pkt.Ack()
 	}
 	if rec.newData(pkt) {
+		tbl.countColdRequest(rec, now)
 		rec.dataSeen, rec.clientEnd = true, pkt.EndSeq()
 		if rec.phase != closed {
 			tbl.meter.begin(rec, now)
--- a/core/flows/table.go
+++ b/core/flows/table.go
@@ -12,6 +12,7 @@
 	"lagoondrum/core/encap"
 	"lagoondrum/core/flow"
 	"lagoondrum/core/intent"
+	"lagoondrum/core/warm"
 )
 
 // Timeouts and limits of the table.
@@ -93,6 +94,7 @@
 	state       *intent.State // The desired state in force; nil before the first one.
 	meter       meter
 	admission   admission
+	cold        warm.Gate
 	actions     []Action
 }
 
@@ -110,6 +112,7 @@
 		served:      make(map[flow.Endpoint]bool),
 		unanswered:  make(map[flow.Key]*record),
 		admission:   admission{reserved: make(map[flow.Key]time.Time), announced: make(map[flow.Key]time.Time), requestDelay: maxReserveTime / reserveFactor},
+		cold:        warm.NewGate(),
 	}
 }
 
@@ -169,6 +172,9 @@
 // SetLeaving sets whether the upstream takes no new flows.
 func (tbl *Table) SetLeaving(leaving bool) { tbl.leaving = leaving }
 
+// Cold returns the limit of what the upstream gets while it is cold.
+func (tbl *Table) Cold() *warm.Gate { return &tbl.cold }
+
 // Service returns the service of the upstream.
 func (tbl *Table) Service() uint64 { return tbl.service }
 
--- a/core/flows/tick.go
+++ b/core/flows/tick.go
@@ -87,6 +87,7 @@
 		tbl.answerDue = time.Time{}
 	case NotRunning:
 		tbl.down = true
+		tbl.cold.NoteDown()
 		tbl.complete = true // An upstream that starts there next holds no flows.
 		tbl.answerDue = time.Time{}
 		tbl.markAllEnded()
--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -87,6 +87,7 @@
 	routes      map[flow.Endpoint]*Route
 	services    map[string]bool
 	coldRates   map[string]float64 // Openings a second that a cold upstream of a service bears.
+	ignored     []string           // What is invalid and left out.
 	idleTimeout time.Duration
 }
 
@@ -124,6 +125,15 @@
 // is cold, 0 when the state sets no limit.
 func (stt *State) ColdRate(service string) float64 { return stt.coldRates[service] }
 
+// WithIgnored records a part that is invalid and left out, and returns the state.
+func (stt *State) WithIgnored(part string) *State {
+	stt.ignored = append(stt.ignored, part)
+	return stt
+}
+
+// Ignored returns the parts that are invalid and left out.
+func (stt *State) Ignored() []string { return stt.ignored }
+
 // NamesService reports whether the state names a service.
 func (stt *State) NamesService(name string) bool { return stt.services[name] }
 
--- a/core/picker/place.go
+++ b/core/picker/place.go
@@ -18,6 +18,7 @@
 	remoteZonePenalty = 0.12 // For an upstream in another availability zone, as traffic between zones costs money.
 	coldFactor        = 1.6  // A cold upstream takes this many times as long.
 	unheardPenalty    = 10   // For an agent never heard from, as just after a start: agents known to run come first.
+	noRoomPenalty     = 100  // For a cold upstream that has got as many openings as it bears, plus the seconds until it bears another.
 	suspectPenalty    = 1000 // For a suspect agent (missed answers, announced restart): chosen only when no other is left.
 	jitterWeight      = 0.05 // Range of a term by hash, so that balancers with the same load reports choose differently.
 )
@@ -42,20 +43,17 @@
 // of another availability zone. Every answer of an agent carries a load report;
 // openings sent since the last report are added to it.
 func (chs *Chooser) Choose(agents []*fleet.Agent, tried func([4]byte) bool, hash uint64, now time.Time) *fleet.Agent {
-	var best *fleet.Agent
-	var lowest float64
-	for _, agt := range topCandidates(agents, hash, now) {
-		if !agt.Usable(now) || tried(agt.IP()) {
-			continue
-		}
-		if cost := chs.CostOf(agt, hash, now).Total(); best == nil || cost < lowest {
-			best, lowest = agt, cost
-		}
-	}
-	if best == nil && len(agents) > maxCandidates {
+	best := chs.cheapest(topCandidates(agents, hash, now), tried, hash, now)
+	switch {
+	case len(agents) <= maxCandidates:
+		return best
+	case best == nil:
 		return firstUsable(agents, tried, now)
+	case best.ColdWait(now) > 0:
+		return chs.cheapest(agents, tried, hash, now) // Other upstreams of the service may have room.
+	default:
+		return best
 	}
-	return best
 }
 
 // Cost is what giving an agent a new flow costs, by its causes.
@@ -64,11 +62,14 @@
 	Zone    float64 // Another availability zone.
 	Unheard float64 // The agent was never heard.
 	Suspect float64 // The agent or its upstream is suspect.
+	NoRoom  float64 // The upstream is cold and has got as many openings as it bears.
 	Jitter  float64 // Differs between flows, so that equal agents share them.
 }
 
 // Total returns the sum by which agents are compared.
-func (cst Cost) Total() float64 { return cst.Load + cst.Zone + cst.Unheard + cst.Suspect + cst.Jitter }
+func (cst Cost) Total() float64 {
+	return cst.Load + cst.Zone + cst.Unheard + cst.Suspect + cst.Jitter + cst.NoRoom
+}
 
 // CostOf returns the cost of giving an agent a new flow.
 func (chs *Chooser) CostOf(agt *fleet.Agent, hash uint64, now time.Time) Cost {
@@ -78,6 +79,9 @@
 	if ups.Cold(now) {
 		cst.Load *= coldFactor
 	}
+	if wait := agt.ColdWait(now); wait > 0 {
+		cst.NoRoom = noRoomPenalty + wait.Seconds()
+	}
 	if ups.Zone() != chs.zone {
 		cst.Zone = remoteZonePenalty
 	}
@@ -120,6 +124,21 @@
 	return top[:]
 }
 
+// cheapest returns the agent with the lowest cost among those not tried yet, or nil.
+func (chs *Chooser) cheapest(agents []*fleet.Agent, tried func([4]byte) bool, hash uint64, now time.Time) *fleet.Agent {
+	var best *fleet.Agent
+	var lowest float64
+	for _, agt := range agents {
+		if !agt.Usable(now) || tried(agt.IP()) {
+			continue
+		}
+		if cost := chs.CostOf(agt, hash, now).Total(); best == nil || cost < lowest {
+			best, lowest = agt, cost
+		}
+	}
+	return best
+}
+
 // firstUsable returns the first usable agent that was not tried yet.
 func firstUsable(agents []*fleet.Agent, tried func([4]byte) bool, now time.Time) *fleet.Agent {
 	for _, agt := range agents {
--- a/core/track/opening.go
+++ b/core/track/opening.go
@@ -38,12 +38,13 @@
 // candidate is asked.
 func (tbl *Table) handleOpeningCopy(key flow.Key, ent *entry, raw []byte, now time.Time) {
 	if len(ent.holders) > 0 {
-		tbl.send(ent.holders[0].ip, encap.Open, ent.serviceID, key, raw)
+		hdr := tbl.withColdLimit(encap.New(encap.Open, ent.serviceID, key), ent.holders[0].ip, now)
+		tbl.actions = append(tbl.actions, Action{kind: Send, agent: ent.holders[0].ip, key: key, header: hdr, packet: raw})
 		return
 	}
 	tbl.pending[key] = ent
 	tbl.notice(key, RepeatedOpen, [4]byte{})
-	ent.attemptsOfCopy = 0
+	ent.attemptsOfCopy, ent.coldRefusals = 0, 0
 	tbl.askNextAgent(key, ent, now)
 }
 
@@ -57,7 +58,7 @@
 	}
 	tbl.overflow(key, ent, now)
 	agt := tbl.chooseAgent(ent, now)
-	if agt == nil {
+	if agt == nil || ent.coldRefusals >= maxColdRefusals && agt.ColdWait(now) > 0 {
 		tbl.handleNoAgentLeft(key, ent, now)
 		return
 	}
@@ -66,17 +67,29 @@
 	ent.deadline = now.Add(tbl.answers.timeout())
 	agt.NoteOpeningSent(now)
 	tbl.notice(key, Asked, agt.IP())
-	tbl.sendOpening(agt.IP(), key, ent)
+	tbl.sendOpening(agt.IP(), key, ent, now)
 }
 
-func (tbl *Table) sendOpening(ip [4]byte, key flow.Key, ent *entry) {
+func (tbl *Table) sendOpening(ip [4]byte, key flow.Key, ent *entry, now time.Time) {
 	hdr := encap.New(encap.Open, ent.serviceID, key).WithUrgency(ent.route.Urgency())
 	if ent.queueIfFull {
 		hdr = hdr.WithQueueIfFull()
 	}
+	hdr = tbl.withColdLimit(hdr, ip, now)
 	tbl.actions = append(tbl.actions, Action{kind: Send, agent: ip, key: key, header: hdr, packet: ent.openingPacket})
 }
 
+// withColdLimit adds the limit of a cold upstream to the header of an opening. The agent
+// may have restarted and not know it.
+func (tbl *Table) withColdLimit(hdr encap.Header, ip [4]byte, now time.Time) encap.Header {
+	if agt := tbl.fleet.Agent(ip); agt != nil {
+		if limit, ok := agt.ColdLimit(now); ok {
+			return hdr.WithColdLimit(limit)
+		}
+	}
+	return hdr
+}
+
 func (tbl *Table) chooseAgent(ent *entry, now time.Time) *fleet.Agent {
 	return tbl.chooser.Choose(tbl.fleet.Service(ent.service), ent.attempted, ent.hash, now)
 }
@@ -157,6 +170,10 @@
 	if hdr.Reason() == encap.Silent {
 		ent.unanswered = true
 	}
+	if agt := tbl.fleet.Agent(from); agt != nil && hdr.Reason() == encap.ColdLimit {
+		agt.NoteColdRefusal(now)
+		ent.coldRefusals++
+	}
 	current := len(ent.attempts) > 0 && ent.attempts[len(ent.attempts)-1].ip == from
 	if ent.phase != opening || len(ent.holders) > 0 || !current {
 		return
@@ -169,12 +186,12 @@
 	tbl.askNextAgent(key, ent, now)
 }
 
-// overflow moves an opening that an agent refused as full to the route's service
+// overflow moves an opening that an agent refused as full or cold to the route's service
 // whose best agent costs least: it is not queued or refused at the service that the
 // shares chose while another one has capacity. An agent that did not answer may
 // still open the flow, so then the service stays.
 func (tbl *Table) overflow(key flow.Key, ent *entry, now time.Time) {
-	if !ent.queueIfFull || ent.unanswered {
+	if !ent.queueIfFull && ent.coldRefusals == 0 || ent.unanswered {
 		return
 	}
 	var agts []*fleet.Agent
--- a/core/track/search.go
+++ b/core/track/search.go
@@ -49,7 +49,7 @@
 }
 
 // recordUpstreamEvidence records whether the agent's upstream answered an opening.
-// A refusal because the upstream leaves or is full is no evidence against it.
+// A refusal because the upstream leaves, is full or is cold is no evidence against it.
 func (tbl *Table) recordUpstreamEvidence(hdr encap.Header, from [4]byte, now time.Time) {
 	agt := tbl.fleet.Agent(from)
 	if agt == nil {
@@ -58,7 +58,7 @@
 	switch {
 	case hdr.Kind() == encap.Opened:
 		agt.NoteOpeningAnswered()
-	case hdr.Kind() == encap.Refused && hdr.Reason() != encap.Leaving && hdr.Reason() != encap.Full:
+	case hdr.Kind() == encap.Refused && hdr.Reason() != encap.Leaving && hdr.Reason() != encap.Full && hdr.Reason() != encap.ColdLimit:
 		agt.NoteOpeningUnanswered(now)
 	}
 }
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -31,6 +31,7 @@
 	tryWindow          = 2200 * time.Millisecond // Covers these 2 s and the way of an agent's answer.
 	startupTime        = 2 * time.Second         // For so long after its start, a balancer that found no older process does not limit tries, because flows are not yet established.
 	maxAttemptsPerCopy = 2                       // Agents asked to open a flow for each copy of the opening, once one did not answer.
+	maxColdRefusals    = 2                       // After so many refusals of one copy, upstreams that are cold and probably have no room are not asked.
 )
 
 // phase is the state of a flow at this balancer.
@@ -69,6 +70,7 @@
 	openingPacket  []byte
 	attempts       []openAttempt
 	attemptsOfCopy int // Attempts since the client's last copy of the opening.
+	coldRefusals   int // Refusals since then because an upstream is cold.
 	holders        []holder
 	heldPackets    [][]byte
 	search         search
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -15,6 +15,7 @@
 	"lagoondrum/core/flows"
 	"lagoondrum/core/intent"
 	"lagoondrum/core/mirror"
+	"lagoondrum/core/warm"
 	"lagoondrum/io/conf"
 	"lagoondrum/io/gossip"
 	"lagoondrum/io/logs"
@@ -43,6 +44,7 @@
 	fleet           *fleet.Fleet
 	tracker         *intent.Tracker // Its history is served to balancers that start when no other balancer is running.
 	metrics         *agentMetrics
+	coldSource      warm.Source                  // From whom the limit in force is known, as last logged.
 	foreignEntry    string                       // ID of the last entry with this VM's address that is not its upstream's.
 	balancerHeardAt map[netip.AddrPort]time.Time // When the last heartbeat of each balancer arrived.
 	wake            chan struct{}
@@ -110,6 +112,7 @@
 	agt.settings = set
 	agt.upstream = set.Upstream()
 	agt.table.SetService(encap.ServiceID(set.Service()))
+	agt.setColdLimit(time.Now())
 }
 
 // leave tells the balancers that the agent is stopping. It does not wait: either
@@ -146,6 +149,7 @@
 	if stt := agt.tracker.State(); stt != nil {
 		agt.table.SetState(stt)
 		agt.fleet.SetState(stt)
+		agt.setColdLimit(now)
 	}
 	for _, itm := range items {
 		agt.applyEntry(itm, now)
@@ -194,6 +198,7 @@
 	}
 	agt.table.SetLeaving(leaving)
 	agt.table.SetSlots(ups.Slots())
+	agt.table.Cold().SetEntry(ups.Incarnation(), ups.ColdUntil())
 	if !agt.table.Complete() && ups.StartedAfter(agt.startedAt.Add(-startTolerance)) {
 		agt.table.SetComplete()
 		agt.log.Info("flow table is complete: the upstream started with this agent", zap.String("id", ups.ID()))
@@ -331,6 +336,7 @@
 	agt.gauges.set("flowsRecorded", float64(agt.table.Flows()))
 	agt.gauges.set("requestsQueued", float64(agt.table.Queued()))
 	agt.gauges.set("requestsUnderWay", agt.table.Load(now).Requests())
+	agt.gauges.set("coldLimit", float64(agt.coldLimitInForce(now)))
 	agt.gauges.setCommon(agt.base, now)
 }
 
@@ -341,6 +347,7 @@
 	agt.fleet.Tick(now)
 	agt.table.Tick(now)
 	agt.perform(now)
+	agt.logColdLimit(now)
 	agt.flush()
 	agt.updateGauges(now)
 	if agt.table.NeedsTick() {
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -13,6 +13,7 @@
 	"lagoondrum/core/fleet"
 	"lagoondrum/core/intent"
 	"lagoondrum/core/track"
+	"lagoondrum/core/warm"
 	"lagoondrum/io/conf"
 	"lagoondrum/io/logs"
 	"lagoondrum/io/mmsg"
@@ -74,6 +75,7 @@
 		wake:         make(chan struct{}, 1),
 		gauges:       gauges{scope: bas.scope},
 	}
+	blc.fleet.SetColdBounds(warm.NewBounds(set.ColdAllowance()))
 	blc.table = track.New(set.Place().Zone(), set.LinkBytes(), blc.tracker, blc.fleet)
 	bas.replica.OnChange(blc.applyChanges, blc)
 	if err := bas.serveHTTP(); err != nil {
@@ -104,6 +106,7 @@
 	blc.mu.Lock()
 	defer blc.mu.Unlock()
 	blc.settings = set
+	blc.fleet.SetColdBounds(warm.NewBounds(set.ColdAllowance()))
 }
 
 // leave reports the balancer as not ready and waits until the routers have stopped
--- a/io/carry/fields.go
+++ b/io/carry/fields.go
@@ -10,9 +10,9 @@
 
 // heartbeatFields returns the payload of the agent's heartbeats to balancers: what
 // they are told besides the header.
-func (agt *agent) heartbeatFields(_ time.Time) []byte {
+func (agt *agent) heartbeatFields(now time.Time) []byte {
 	var payload []byte
-	return payload
+	return agt.appendColdRoom(payload, now)
 }
 
 // notePayload handles the payload of a heartbeat: of a balancer the names of others, of
@@ -26,10 +26,12 @@
 }
 
 // noteFields handles the payload of an agent's heartbeat.
-func (blc *balancer) noteFields(_ *fleet.Agent, payload []byte, _ time.Time) {
-	wellFormed := encap.EachField(payload, func(fld encap.Field, _ []byte) {
+func (blc *balancer) noteFields(agt *fleet.Agent, payload []byte, now time.Time) {
+	wellFormed := encap.EachField(payload, func(fld encap.Field, value []byte) {
 		switch fld {
-		case encap.ColdRoomField, encap.EvidenceField, encap.BacklogField:
+		case encap.ColdRoomField:
+			blc.noteColdRoom(agt, value, now)
+		case encap.EvidenceField, encap.BacklogField:
 		}
 	})
 	if !wellFormed {
--- a/io/carry/state.go
+++ b/io/carry/state.go
@@ -26,6 +26,9 @@
 			bas.log.Error("invalid desired state", zap.Uint64("revision", itm.Revision()), zap.Error(err))
 			continue
 		}
+		for _, part := range stt.Ignored() {
+			bas.log.Warn("part of the desired state ignored", zap.Uint64("version", stt.Version()), zap.String("part", part))
+		}
 		states = append(states, stt)
 	}
 	return states
