Weigh the room of availability zones where clients move between them

Another zone cost .12 of an upstream's slots, whatever room the own one had: one request less at any upstream outweighed it, so more than half of the requests left their zone while it was nearly idle. Change: where the settings say so (serving.spillZones, auto: where clients may move between zones), another zone costs one request for each slot; the log line of a choice tells the price and the gain.

--- a/core/picker/place.go
+++ b/core/picker/place.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,14 +14,15 @@
 
 // Costs of a candidate, in fractions of the upstream's slots unless stated otherwise.
 const (
-	maxCandidates     = 8    // Agents compared for one flow; in a smaller service all of them are.
-	requestsPerFlow   = 0.04 // Average number of requests in progress for each open flow.
-	remoteZonePenalty = 0.12 // For an upstream in another availability zone, as traffic between zones costs money.
-	coldFactor        = 1.6  // A cold upstream takes this many times as long.
-	unheardPenalty    = 10   // For an agent never heard from, as just after a start: agents known to run come first.
-	noRoomPenalty     = 100  // For a cold upstream that has got as many openings as it bears, plus the seconds until it bears another.
-	suspectPenalty    = 1000 // For a suspect agent (missed answers, announced restart): chosen only when no other is left.
-	jitterWeight      = 0.05 // Range of a term by hash, so that balancers with the same load reports choose differently.
+	maxCandidates      = 8    // Agents compared for one flow; in a smaller service all of them are.
+	requestsPerFlow    = 0.04 // Average number of requests in progress for each open flow.
+	remoteZonePenalty  = 0.12 // For an upstream in another availability zone, as traffic between zones costs money.
+	weighedZonePenalty = 1    // The same where zones are weighed: an upstream of the own zone with a free slot is preferred to an idle one elsewhere.
+	coldFactor         = 1.6  // A cold upstream takes this many times as long.
+	unheardPenalty     = 10   // For an agent never heard from, as just after a start: agents known to run come first.
+	noRoomPenalty      = 100  // For a cold upstream that has got as many openings as it bears, plus the seconds until it bears another.
+	suspectPenalty     = 1000 // For a suspect agent (missed answers, announced restart): chosen only when no other is left.
+	jitterWeight       = 0.05 // Range of a term by hash, so that balancers with the same load reports choose differently.
 )
 
 // FlowHash returns the hash of a flow, from which all choices for the flow derive.
@@ -32,7 +34,9 @@
 
 // Chooser chooses upstreams for the new flows of a balancer.
 type Chooser struct {
-	zone string
+	zone         string
+	zonesWeighed bool
+	last         ZoneChoice // Why the last choice fell on an agent of its zone.
 }
 
 // New returns the chooser of a balancer in an availability zone.
@@ -83,7 +87,7 @@
 		cst.NoRoom = noRoomPenalty + wait.Seconds()
 	}
 	if ups.Zone() != chs.zone {
-		cst.Zone = remoteZonePenalty
+		cst.Zone = chs.zonePenalty()
 	}
 	if agt.HeardAt().IsZero() {
 		cst.Unheard = unheardPenalty
@@ -128,13 +132,16 @@
 func (chs *Chooser) cheapest(agents []*fleet.Agent, tried func([4]byte) bool, hash uint64, now time.Time) *fleet.Agent {
 	var best *fleet.Agent
 	var lowest float64
+	chs.last = ZoneChoice{own: math.Inf(1), other: math.Inf(1)}
 	for _, agt := range agents {
 		if !agt.Usable(now) || tried(agt.IP()) {
 			continue
 		}
-		if cost := chs.CostOf(agt, hash, now).Total(); best == nil || cost < lowest {
+		cst := chs.CostOf(agt, hash, now)
+		if cost := cst.Total(); best == nil || cost < lowest {
 			best, lowest = agt, cost
 		}
+		chs.noteCost(agt, cst)
 	}
 	return best
 }
--- a/core/track/action.go
+++ b/core/track/action.go
@@ -5,6 +5,7 @@
 
 	"lagoondrum/core/encap"
 	"lagoondrum/core/flow"
+	"lagoondrum/core/picker"
 )
 
 // ActionKind is the type of an action.
@@ -65,7 +66,8 @@
 	seq    uint32 // Of a reset.
 	header encap.Header
 	packet []byte
-	took   time.Duration // From the opening to the agent's answer.
+	took   time.Duration     // From the opening to the agent's answer.
+	zone   picker.ZoneChoice // Of Asked, where zones are weighed.
 }
 
 // Kind returns the type of the action.
@@ -91,5 +93,11 @@
 // Answered only.
 func (act Action) Took() time.Duration { return act.took }
 
+// ZoneChoice returns why an agent of its availability zone was asked, and false unless
+// the action is Asked and zones are weighed.
+func (act Action) ZoneChoice() (picker.ZoneChoice, bool) {
+	return act.zone, act.cause == Asked && act.zone != picker.ZoneChoice{}
+}
+
 // Packet returns the bytes to send after the header.
 func (act Action) Packet() []byte { return act.packet }
--- a/core/track/opening.go
+++ b/core/track/opening.go
@@ -66,10 +66,19 @@
 	ent.attemptsOfCopy++
 	ent.deadline = now.Add(tbl.answers.timeout())
 	agt.NoteOpeningSent(now)
-	tbl.notice(key, Asked, agt.IP())
+	tbl.noticeAsked(key, agt.IP())
 	tbl.sendOpening(agt.IP(), key, ent, now)
 }
 
+// noticeAsked notices that an agent is asked, and why it is one of its zone.
+func (tbl *Table) noticeAsked(key flow.Key, agent [4]byte) {
+	act := Action{kind: Notice, cause: Asked, key: key, agent: agent}
+	if chc, weighed := tbl.chooser.ZoneChoice(); weighed {
+		act.zone = chc
+	}
+	tbl.actions = append(tbl.actions, act)
+}
+
 func (tbl *Table) sendOpening(ip [4]byte, key flow.Key, ent *entry, now time.Time) {
 	hdr := encap.New(encap.Open, ent.serviceID, key).WithUrgency(ent.route.Urgency())
 	if ent.queueIfFull {
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -111,6 +111,10 @@
 	}
 }
 
+// SetZonesWeighed sets whether the room of the balancer's availability zone is weighed
+// against that of others.
+func (tbl *Table) SetZonesWeighed(weighed bool) { tbl.chooser.SetZonesWeighed(weighed) }
+
 // TakeActions returns the actions decided since the last call. They are valid
 // until the next event.
 func (tbl *Table) TakeActions() []Action {
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -77,6 +77,7 @@
 	}
 	blc.fleet.SetColdBounds(warm.NewBounds(set.ColdAllowance()))
 	blc.table = track.New(set.Place().Zone(), set.LinkBytes(), blc.tracker, blc.fleet)
+	blc.table.SetZonesWeighed(weighsZones(set))
 	bas.replica.OnChange(blc.applyChanges, blc)
 	if err := bas.serveHTTP(); err != nil {
 		return err
@@ -107,6 +108,7 @@
 	defer blc.mu.Unlock()
 	blc.settings = set
 	blc.fleet.SetColdBounds(warm.NewBounds(set.ColdAllowance()))
+	blc.table.SetZonesWeighed(weighsZones(set))
 }
 
 // leave reports the balancer as not ready and waits until the routers have stopped
@@ -259,6 +261,7 @@
 		fields = append(fields, zap.Stringer("agent", netip.AddrFrom4(act.Agent())), zap.String("upstream", agt.Upstream().ID()), zap.Float64("requests", agt.Load().Requests()),
 			zap.Int("flows", agt.Load().Flows()), zap.Int("pending", agt.PendingOpenings()), logs.Age("loadAge", agt.HeardAt(), now))
 	}
+	fields = appendZoneChoice(fields, act)
 	if act.Took() > 0 {
 		fields = append(fields, zap.Duration("took", act.Took()))
 	}
