--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"lagoondrum/core/encap"
 	"lagoondrum/core/evac"
 	"lagoondrum/core/intent"
+	"lagoondrum/core/warm"
 )
 
 // lapseGrace is how long an upstream is kept after its entry has gone, while its
@@ -27,6 +28,7 @@
 	state     *intent.State        // The desired state in force; nil before the first one.
 
 	evacuations *evac.Orders
+	coldBounds  warm.Bounds
 }
 
 // New returns an empty fleet.
@@ -155,6 +157,7 @@
 		agt.load = encap.Load{}
 		agt.pending = 0
 		agt.vouched = false
+		agt.coldRoom = warm.Room{}
 	}
 	agt.upstream = ups
 	agt.serviceID = encap.ServiceID(ups.service)
@@ -169,6 +172,7 @@
 	slices.SortFunc(flt.all, func(one, other *Agent) int { return bytes.Compare(one.upstream.address[:], other.upstream.address[:]) })
 	clear(flt.services)
 	for _, agt := range flt.all {
+		flt.setColdLimit(agt)
 		name := agt.upstream.service
 		flt.services[name] = append(flt.services[name], agt)
 	}
--- a/core/flows/balancer.go
+++ b/core/flows/balancer.go
@@ -49,11 +49,18 @@
 func (tbl *Table) handleOpen(hdr encap.Header, pkt flow.Packet, raw []byte, from flow.Endpoint, now time.Time) {
 	key := pkt.KeyFromClient()
 	rec := tbl.records[key]
-	known := rec != nil && rec.clientISN == pkt.Seq() && rec.phase != closed && rec.phase != trying
+	known := rec != nil && rec.isOpenedBy(pkt)
 	if rsn := tbl.refusalReason(hdr, known && rec.accepted); rsn != encap.NoReason {
 		tbl.notify(from, encap.New(encap.Refused, hdr.Service(), key).WithReason(rsn), nil, now)
 		return
 	}
+	if limit, ok := hdr.ColdLimit(); ok {
+		tbl.cold.NoteTold(limit, now)
+	}
+	if !tbl.cold.Open(now) { // Copies of an opening count too.
+		tbl.refuseCold(key, pkt, from, now)
+		return
+	}
 	if !known {
 		tbl.remove(key, now)
 		sentAt := now.Add(-sendOffsets[min(int(pkt.Ack()), len(sendOffsets)-1)]) // The ack of an opening packet counts the copies sent before.
@@ -70,12 +77,18 @@
 	}
 	rec.balancer = from
 	tbl.noteActivity(rec, now)
+	tbl.cold.Count(now)
 	tbl.deliver(key, pkt, raw, now)
 	if rec.accepted {
 		tbl.notifyOpened(key, rec, now)
 	}
 }
 
+// isOpenedBy reports whether an opening packet is a copy of the one that began the flow.
+func (rec *record) isOpenedBy(pkt flow.Packet) bool {
+	return rec.clientISN == pkt.Seq() && rec.phase != closed && rec.phase != trying
+}
+
 // refusalReason returns why a flow cannot be opened, NoReason if it can. accepted tells
 // that the upstream has answered an earlier copy of the opening.
 func (tbl *Table) refusalReason(hdr encap.Header, accepted bool) encap.Reason {
@@ -190,6 +203,7 @@
 		rec.clientAck = pkt.Ack()
 	}
 	if rec.newData(pkt) {
+		tbl.countColdRequest(rec, now)
 		rec.dataSeen, rec.clientEnd = true, pkt.EndSeq()
 		if rec.phase != closed {
 			tbl.meter.begin(rec, now)
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -14,6 +14,7 @@
 	"lagoondrum/core/intent"
 	"lagoondrum/core/mirror"
 	"lagoondrum/core/track"
+	"lagoondrum/core/warm"
 	"lagoondrum/io/conf"
 	"lagoondrum/io/logs"
 	"lagoondrum/io/mmsg"
@@ -76,8 +77,10 @@
 		wake:         make(chan struct{}, 1),
 		gauges:       gauges{scope: bas.scope},
 	}
+	blc.fleet.SetColdBounds(warm.NewBounds(set.ColdAllowance()))
 	blc.table = track.New(set.Place().Zone(), set.LinkBytes(), blc.tracker, blc.fleet)
 	blc.startWatch(time.Now())
+	blc.table.SetZonesWeighed(weighsZones(set))
 	bas.replica.OnChange(blc.applyChanges, blc)
 	if err := bas.serveHTTP(); err != nil {
 		return err
@@ -107,6 +110,8 @@
 	blc.mu.Lock()
 	defer blc.mu.Unlock()
 	blc.settings = set
+	blc.fleet.SetColdBounds(warm.NewBounds(set.ColdAllowance()))
+	blc.table.SetZonesWeighed(weighsZones(set))
 }
 
 // leave reports the balancer as not ready and waits until the routers have stopped
@@ -262,6 +267,7 @@
 		fields = append(fields, zap.Stringer("agent", netip.AddrFrom4(act.Agent())), zap.String("upstream", agt.Upstream().ID()), zap.Float64("requests", agt.Load().Requests()),
 			zap.Int("flows", agt.Load().Flows()), zap.Int("pending", agt.PendingOpenings()), logs.Age("loadAge", agt.HeardAt(), now))
 	}
+	fields = appendZoneChoice(fields, act)
 	if act.Took() > 0 {
 		fields = append(fields, zap.Duration("took", act.Took()))
 	}
