Ask the agents of doubtful entries first

Cause: an entry that a return of the store brought back is not used before its agent is heard, and in a large fleet an agent's turn in the round of heartbeats comes after up to 90 s. Change: the next heartbeat goes to these agents, within the rate that bounds all.

--- a/io/carry/state.go
+++ b/io/carry/state.go
@@ -104,6 +104,9 @@
 		return
 	}
 	blc.fleet.PutEntry(upstreamOf(lst, itm, now), now)
+	if itm.Mark() == mirror.Doubtful { // Its agent's answer confirms the upstream; in a large fleet its turn may be far off.
+		blc.heartbeatTargets = append([][4]byte{lst.Address}, blc.heartbeatTargets...)
+	}
 	blc.log.Info("upstream listed", zap.String("id", id), zap.String("service", lst.Service), zap.Stringer("vm", netip.AddrFrom4(lst.Address)),
 		zap.Bool("draining", lst.Draining), zap.Bool("doubtful", itm.Mark() == mirror.Doubtful), zap.Duration("cold", lst.ColdFor), zap.Bool("serviceNamed", blc.tracker.State() == nil || blc.tracker.State().NamesService(lst.Service)), gossip.LogPosition(itm.Position()))
 }
