Order what waits by what callers lose for the work

While an upstream is short of room its agent served first what can be in time, then by priority, then by arrival. It knew neither the work of a request nor when a slot would be free, so that long requests made several short ones late, and requests of a higher priority went first that could have waited.

Change: core/share plans the requests that wait over the slots: as many as can meet their objectives, then as many as can be answered before their timeouts; what stands back is the least benefit, by priority, for the work, which is learned from answers by route. Among equals the client with more waiting stands back, and no route starves. An opening that its client would give up first is refused at once; it has not run. serving.shedByCost switches it; the default is now off in place of auto, since auto is on wherever routes of different priority share a service. Off, all decisions are as before. Counters by route, prospects in the log lines.

Lint and the tests of core, platform and io/carry pass; io/fault was not run.

--- a/cmd/bench/load.go
+++ b/cmd/bench/load.go
@@ -24,6 +24,17 @@
 		unqueued, _ := playLoad(scn)
 		rep.addRow(scn.Name+": in time, queued at the upstreams", float64(unqueued.InTime), "requests")
 	}
+	for _, scn := range simul.CostScenarios() {
+		byRank, bound := playLoad(scn)
+		scn.ByCost = true
+		byCost, _ := playLoad(scn)
+		rep.addRow(scn.Name+": asked", float64(byRank.Asked), "requests")
+		rep.addRow(scn.Name+": in time", float64(byRank.InTime), "requests")
+		rep.addRow(scn.Name+": not answered", float64(byRank.Failed), "requests")
+		rep.addRow(scn.Name+": in time, by cost", float64(byCost.InTime), "requests")
+		rep.addRow(scn.Name+": not answered, by cost", float64(byCost.Failed), "requests")
+		rep.addRow(scn.Name+": in time, bound", float64(bound), "requests")
+	}
 	served := rep.addSeries("requests answered in time after a power loss", "length of the power loss (ms)", "fraction of all within 4 s")
 	best := rep.addSeries("bound of the requests answered in time after a power loss", "length of the power loss (ms)", "fraction of all within 4 s")
 	for _, outage := range []time.Duration{300, 600, 900, 1200, 1500, 1800} {
--- a/core/flows/action.go
+++ b/core/flows/action.go
@@ -5,6 +5,7 @@
 
 	"lagoondrum/core/encap"
 	"lagoondrum/core/flow"
+	"lagoondrum/core/share"
 )
 
 // ActionKind is the kind of an action.
@@ -19,6 +20,7 @@
 	Probe                              // Find out by a connection attempt whether the upstream runs.
 	NoteQueued                         // Log that a request waits for capacity; nothing is sent.
 	NoteAdmitted                       // Log that a request that waited is delivered; nothing is sent.
+	NoteRefused                        // Log why an opening is refused for lack of capacity; nothing is sent. Only with the order by cost.
 )
 
 // Action is one thing that the agent has to do. It is a struct and not a sealed
@@ -31,7 +33,8 @@
 	seq      uint32 // Of Reset.
 	header   encap.Header
 	packet   []byte
-	deadline time.Time // Of NoteQueued and NoteAdmitted: when the request's objective is missed.
+	deadline time.Time // Of NoteQueued, NoteAdmitted and NoteRefused: when the request's objective is missed.
+	prospect share.Prospect
 }
 
 // Kind returns the kind of the action.
@@ -53,5 +56,9 @@
 // waited is missed.
 func (act Action) ObjectiveDeadline() time.Time { return act.deadline }
 
+// Prospect returns what a request that waits or is refused could expect, Unplanned
+// without the order by cost.
+func (act Action) Prospect() share.Prospect { return act.prospect }
+
 // Packet returns the packet to send, nil when there is none.
 func (act Action) Packet() []byte { return act.packet }
--- a/core/flows/admission.go
+++ b/core/flows/admission.go
@@ -8,6 +8,7 @@
 	"lagoondrum/core/encap"
 	"lagoondrum/core/flow"
 	"lagoondrum/core/queue"
+	"lagoondrum/core/share"
 )
 
 // Limits of the requests that an upstream is given at once.
@@ -35,6 +36,7 @@
 	announced    map[flow.Key]time.Time // The same for openings without capacity for their request, which will have to wait.
 	requestDelay time.Duration          // Moving average of the time from an opening to its request: a round trip to the client.
 	answerTime   time.Duration          // Moving average of the time from a request to its answer.
+	order        *share.Order           // Of the queue by cost; nil for that by rank.
 }
 
 // SetSlots sets how many requests the upstream runs concurrently.
@@ -66,8 +68,13 @@
 }
 
 // pace returns how fast the upstream serves.
-func (adm *admission) pace() queue.Pace {
-	return queue.NewPace(adm.answerTime, adm.answerTime/time.Duration(adm.requestLimit()))
+func (tbl *Table) pace(now time.Time) queue.Pace {
+	adm := &tbl.admission
+	pce := queue.NewPace(adm.answerTime, adm.answerTime/time.Duration(adm.requestLimit()))
+	if adm.order != nil {
+		pce = pce.WithSlots(tbl.slotsFree(now))
+	}
+	return pce
 }
 
 // noteAnswerTime adds the time that a request took to the moving average.
@@ -113,7 +120,10 @@
 		return false
 	}
 	req := queue.New(key, true, hdr.Urgency(), sentAt)
-	return !hdr.QueueIfFull() || tbl.admission.queue.WouldExpire(req, tbl.admission.pace(), now)
+	if tbl.admission.order != nil {
+		return tbl.refusesByCost(req, hdr.QueueIfFull(), now)
+	}
+	return !hdr.QueueIfFull() || tbl.admission.queue.WouldExpire(req, tbl.pace(now), now)
 }
 
 // holdRequest queues a packet of a request while the upstream has no capacity for
@@ -140,8 +150,9 @@
 	rec.held = true
 	tbl.noteActivity(rec, now)
 	req := queue.New(key, first, tbl.urgencyOf(key, rec), sentAt)
+	prs := tbl.prospect(req, now)
 	adm.queue.Add(req, queue.NewPacket(pkt, bytes.Clone(raw)))
-	tbl.actions = append(tbl.actions, Action{kind: NoteQueued, key: key, deadline: req.ObjectiveDeadline()})
+	tbl.actions = append(tbl.actions, Action{kind: NoteQueued, key: key, deadline: req.ObjectiveDeadline(), prospect: prs})
 	return true
 }
 
@@ -166,7 +177,7 @@
 		tbl.meter.markOverdue(now.Add(-overdueFactor * adm.answerTime))
 	}
 	for !tbl.down && adm.queue.Len() > 0 && !tbl.full() {
-		pce := adm.pace()
+		pce := tbl.pace(now)
 		if adm.slots > 0 && tbl.committed() >= adm.slots && adm.queue.AllLate(pce, now) {
 			return
 		}
@@ -226,6 +237,6 @@
 func (tbl *Table) StopAccepting(now time.Time) {
 	tbl.leaving = true
 	for tbl.admission.queue.Len() > 0 {
-		tbl.deliverRequest(tbl.admission.queue.TakeNext(tbl.admission.pace(), now), now)
+		tbl.deliverRequest(tbl.admission.queue.TakeNext(tbl.pace(now), now), now)
 	}
 }
--- a/core/flows/balancer.go
+++ b/core/flows/balancer.go
@@ -188,6 +188,7 @@
 	if rec.newData(pkt) {
 		rec.dataSeen, rec.clientEnd = true, pkt.EndSeq()
 		if rec.phase != closed {
+			rec.address = pkt.To()
 			tbl.meter.begin(rec, now)
 			tbl.admission.noteFirstRequest(pkt.KeyFromClient(), now.Sub(rec.deliveredAt))
 		}
--- a/core/flows/meter.go
+++ b/core/flows/meter.go
@@ -35,6 +35,7 @@
 	if !rec.requestPending {
 		rec.requestPending = true
 		rec.requestedAt = now
+		rec.requestBehind = mtr.running - mtr.overdue
 		mtr.advance(now)
 		mtr.running++
 		mtr.begun = append(mtr.begun, pendingRequest{record: rec, begunAt: now})
--- a/core/flows/table.go
+++ b/core/flows/table.go
@@ -59,6 +59,8 @@
 	clientEnd      uint32        // The sequence number after the client's data.
 	clientAck      uint32        // The client's last acknowledgement.
 	balancer       flow.Endpoint // The balancer that last sent a packet of the flow or asked for the flow; zero when none did.
+	address        flow.Endpoint // Of the route; zero before the first request.
+	requestBehind  int           // Requests that ran when the pending one began.
 	urgency        flow.Urgency  // Of the route, as the opening said.
 	sentAt         time.Time     // When the client began to open the flow; zero when the opening was not seen.
 	deliveredAt    time.Time     // When the opening packet was delivered.
--- a/core/flows/upstream.go
+++ b/core/flows/upstream.go
@@ -74,6 +74,7 @@
 	}
 	if pkt.DataBytes() > 0 && rec.requestPending {
 		tbl.admission.noteAnswerTime(now.Sub(rec.requestedAt))
+		tbl.noteWork(key, rec, now)
 		tbl.meter.end(rec, now)
 	}
 	if pkt.Has(flow.Fin) {
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -9,14 +9,19 @@
 	"time"
 
 	"lagoondrum/core/flow"
+	"lagoondrum/core/share"
 )
 
 // Queue holds the requests that wait for one upstream, in order of arrival.
 type Queue struct {
 	waiting []Request
-	turns   int // Requests that were taken with TakeNext.
+	turns   int          // Requests that were taken with TakeNext.
+	order   *share.Order // By cost; nil for the order by rank.
 }
 
+// SetOrder sets the order by cost, nil for the order by rank.
+func (que *Queue) SetOrder(ord *share.Order) { que.order = ord }
+
 // Len returns how many requests are queued.
 func (que *Queue) Len() int { return len(que.waiting) }
 
@@ -46,6 +51,9 @@
 
 // AllLate reports whether no request can meet its objective any more.
 func (que *Queue) AllLate(pce Pace, now time.Time) bool {
+	if que.order != nil {
+		return !que.order.Plan(que.demands(), pce.slotsFree, now).Timely()
+	}
 	for _, req := range que.waiting {
 		if req.rankAt(now.Add(pce.answerTime)) == inTime {
 			return false
--- a/core/simul/overload.go
+++ b/core/simul/overload.go
@@ -20,9 +20,11 @@
 	Objective  time.Duration // Latency objective, from the first attempt to the answer.
 	Budget     time.Duration // The caller gives a request up after this long.
 	Work       time.Duration // Mean service time.
-	Priority   uint8         // 0 is the highest.
-	Idempotent bool          // Repeated after any failure; others only if they certainly did not run.
-	KeepsFlow  bool          // A flow carries many requests; otherwise each request opens one.
+	Tail       float64       // Fraction of requests that need TailFactor times as much.
+	TailFactor float64
+	Priority   uint8 // 0 is the highest.
+	Idempotent bool  // Repeated after any failure; others only if they certainly did not run.
+	KeepsFlow  bool  // A flow carries many requests; otherwise each request opens one.
 }
 
 // LoadScenario is a load that upstreams cannot serve within the latency objective
@@ -43,6 +45,10 @@
 	Surge      float64       // Factor on the rates during the first second; 0 for none.
 	Mute       float64       // Fraction of its requests that the first upstream never answers from the start on.
 	Unqueued   bool          // Agents do not know the slots of their upstreams, so that nothing waits at them.
+	ByCost     bool          // Requests are ordered and refused by what callers lose.
+	Restarted  bool          // All agents restart at the start, while their upstreams run on.
+	ReportLag  time.Duration // By how much heartbeats of agents are late.
+	Remote     bool          // All upstreams are in another availability zone than the balancers.
 }
 
 // upstreams returns how many upstreams all services have.
@@ -71,6 +77,7 @@
 	maxWorkFactor    = 6   // Largest service time, as a multiple of the mean.
 	requestBytes     = 200
 	loadBalancerPort = 7842
+	loadZone         = "z" // Of the balancers.
 )
 
 // loadWindows is the number of windows of a result.
@@ -93,6 +100,16 @@
 	RefusedBesideFreeSlots int // Openings that were refused while an upstream of their route had a free slot and nothing queued.
 }
 
+// Benefit returns what the answers are worth to all callers, where each priority counts
+// twice the next one and a late answer lateWorth of one in time.
+func (res LoadResult) Benefit(classes []LoadClass, lateWorth float64) float64 {
+	sum := 0.0
+	for i, cnt := range res.Classes {
+		sum += math.Exp2(-float64(classes[i].Priority)) * (float64(cnt.InTime) + lateWorth*float64(cnt.Late))
+	}
+	return sum
+}
+
 // note counts a request.
 func (cnt *LoadCount) note(req *loadRequest) {
 	cnt.Asked++
@@ -214,6 +231,11 @@
 			}
 		}
 	}
+	if run.scenario.Restarted {
+		for num := range run.upstreams {
+			run.startAgent(num)
+		}
+	}
 	if run.scenario.Outage == 0 {
 		return
 	}
@@ -255,7 +277,7 @@
 		routes[classAddress(idx)] = intent.NewRoute("", shares).WithUrgency(flow.NewUrgency(cls.Priority, cls.Objective, cls.Budget))
 	}
 	blc.tracker.Adopt(intent.NewState(1, routes, loadIdleTimeout), run.Now())
-	blc.table = track.New("z", loadLinkBytes, blc.tracker, blc.fleet)
+	blc.table = track.New(loadZone, loadLinkBytes, blc.tracker, blc.fleet)
 }
 
 // tick drives the timers of all agents and balancers.
@@ -291,7 +313,7 @@
 func (run *loadRun) answerHeartbeat(ups *loadUpstream, balancer int) {
 	if ups.table != nil {
 		hdr := encap.NewHeartbeat(ups.table.Service(), uint64(ups.incarnation), 1).WithLoad(ups.table.Load(run.Now()))
-		run.sendToBalancer(balancer, hdr, nil, ups)
+		run.Schedule(run.scenario.ReportLag, func() { run.sendToBalancer(balancer, hdr, nil, ups) })
 	}
 }
 
@@ -368,8 +390,12 @@
 	return run.packets[binary.BigEndian.Uint32(raw)]
 }
 
-// drawWork draws a service time from a log-normal distribution.
-func (run *loadRun) drawWork(mean time.Duration) time.Duration {
+// drawWork draws a service time of a class from a log-normal distribution.
+func (run *loadRun) drawWork(cls LoadClass) time.Duration {
+	mean := cls.Work
+	if cls.Tail > 0 && run.arrivals.Float64() < cls.Tail {
+		mean = time.Duration(cls.TailFactor * float64(mean))
+	}
 	variance := math.Log(1 + workDeviation*workDeviation)
 	factor := math.Exp(math.Sqrt(variance)*run.arrivals.NormFloat64() - variance/2)
 	return time.Duration(min(factor, maxWorkFactor) * float64(mean))
--- a/core/simul/overload_caller.go
+++ b/core/simul/overload_caller.go
@@ -78,7 +78,7 @@
 		rate *= run.scenario.Surge
 	}
 	run.Schedule(time.Duration(run.arrivals.ExpFloat64()/rate*float64(time.Second)), func() {
-		req := &loadRequest{class: cls, classIndex: idx, caller: run.callers[run.arrivals.IntN(len(run.callers))], work: run.drawWork(cls.Work), startedAt: run.Now()}
+		req := &loadRequest{class: cls, classIndex: idx, caller: run.callers[run.arrivals.IntN(len(run.callers))], work: run.drawWork(cls), startedAt: run.Now()}
 		run.requests = append(run.requests, req)
 		run.startAttempt(req)
 		run.Schedule(cls.Budget, func() { run.giveUp(req) })
--- a/core/simul/overload_scenarios.go
+++ b/core/simul/overload_scenarios.go
@@ -33,6 +33,31 @@
 	return []LoadScenario{base, both, large, short, surge, split}
 }
 
+// CostScenarios returns loads of two routes to the same upstreams that differ in what
+// their callers lose for the work that they need.
+func CostScenarios() []LoadScenario {
+	const ms = time.Millisecond
+	watch := LoadClass{Shares: []int{1}, Rate: 1400, Objective: 300 * ms, Budget: 1500 * ms, Work: 26 * ms, Tail: 0.03, TailFactor: 7, Priority: 2, Idempotent: true, KeepsFlow: true}
+	amend := LoadClass{Shares: []int{1}, Rate: 400, Objective: 300 * ms, Budget: 1500 * ms, Work: 33 * ms, Tail: 0.03, TailFactor: 7, Priority: 1}
+	base := LoadScenario{
+		Name: "power loss of 1.2 s, 42 upstreams of 2 slots", Classes: []LoadClass{watch, amend}, Services: []int{42}, Slots: 2, Queue: 8,
+		Balancers: 19, Callers: 250, Outage: 1200 * ms, Cold: 2 * time.Second, ColdFactor: 1.6,
+	}
+	uneven := base
+	uneven.Name, uneven.Services, uneven.Outage, uneven.Surge = "burst of twice the rate, work of 1 to 7, 12 upstreams of 2 slots", []int{12}, 0, 2
+	short, long := watch, watch
+	short.Rate, short.Work, short.Tail = 700, 10*ms, 0
+	long.Rate, long.Work, long.Tail = 150, 70*ms, 0
+	uneven.Classes = []LoadClass{short, long}
+	many := base
+	many.Name, many.Services, many.Outage, many.Surge = "power loss of 0.9 s, 104 upstreams of 2 slots", []int{104}, 900*ms, 0
+	lookup, push := watch, amend
+	lookup.Rate, lookup.Objective, lookup.Work = 5000, 200*ms, 15*ms
+	push.Rate, push.Objective, push.Work, push.KeepsFlow = 1700, 250*ms, 20*ms, true
+	many.Classes = []LoadClass{lookup, push}
+	return []LoadScenario{base, uneven, many}
+}
+
 // scaled returns the class with another rate and objective.
 func (cls LoadClass) scaled(rate float64, objective time.Duration) LoadClass {
 	cls.Rate, cls.Objective = rate, objective
--- a/core/simul/overload_upstream.go
+++ b/core/simul/overload_upstream.go
@@ -41,8 +41,12 @@
 
 // listing returns the platform's entry of an upstream.
 func (run *loadRun) listing(ups *loadUpstream) fleet.Listing {
+	zone := loadZone
+	if run.scenario.Remote {
+		zone = "other"
+	}
 	return fleet.Listing{
-		ID: ups.id(), Service: serviceName(ups.service), Address: ups.ip(), Port: 8080, Zone: "z", Slots: run.scenario.Slots,
+		ID: ups.id(), Service: serviceName(ups.service), Address: ups.ip(), Port: 8080, Zone: zone, Slots: run.scenario.Slots,
 		StartMillis: int64(ups.incarnation), ColdFor: max(ups.coldUntil.Sub(run.Now()), 0),
 	}
 }
@@ -57,7 +61,9 @@
 
 func (run *loadRun) startAgent(num int) {
 	ups := run.upstreams[num]
-	ups.table = flows.New(encap.ServiceID(serviceName(ups.service)), loadIdleTimeout, run.Now(), true)
+	complete := !run.scenario.Restarted || run.Now().Before(run.start)
+	ups.table = flows.New(encap.ServiceID(serviceName(ups.service)), loadIdleTimeout, run.Now(), complete)
+	ups.table.ShareByCost(run.scenario.ByCost)
 	if !run.scenario.Unqueued {
 		ups.table.SetSlots(run.scenario.Slots)
 	}
@@ -105,7 +111,7 @@
 		run.sendToBalancer(int(act.Balancer().IP()[3])-1, act.Header(), append([]byte(nil), act.Packet()...), ups)
 	case flows.Reset:
 		run.Schedule(callerDelay, func() { run.handleReset(key) })
-	case flows.NoteQueued, flows.NoteAdmitted:
+	case flows.NoteQueued, flows.NoteAdmitted, flows.NoteRefused:
 	case flows.Probe:
 		if ups.flows != nil {
 			ups.table.HandleProbeResult(flows.Running{})
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -110,6 +110,7 @@
 	agt.settings = set
 	agt.upstream = set.Upstream()
 	agt.table.SetService(encap.ServiceID(set.Service()))
+	agt.applySharing()
 }
 
 // leave tells the balancers that the agent is stopping. It does not wait: either
@@ -146,6 +147,7 @@
 	if stt := agt.tracker.State(); stt != nil {
 		agt.table.SetState(stt)
 		agt.fleet.SetState(stt)
+		agt.applySharing()
 	}
 	for _, itm := range items {
 		agt.applyEntry(itm, now)
--- a/io/carry/agent_actions.go
+++ b/io/carry/agent_actions.go
@@ -35,10 +35,14 @@
 			go agt.probe(agt.upstream)
 		case flows.NoteQueued:
 			agt.metrics.queued.Inc(1)
+			agt.countWaiting(act)
 			agt.logWaiting("request queued", act, now)
 		case flows.NoteAdmitted:
 			agt.metrics.admitted.Inc(1)
 			agt.logWaiting("request admitted", act, now)
+		case flows.NoteRefused:
+			agt.countRefused(act)
+			agt.logWaiting("opening refused", act, now)
 		}
 	}
 }
@@ -48,7 +52,8 @@
 func (agt *agent) logWaiting(msg string, act flows.Action, now time.Time) {
 	if ent := agt.log.Check(zap.InfoLevel, msg); ent != nil {
 		ent.Write(zap.Stringer("flow", act.Key()), zap.Duration("objectiveLeft", act.ObjectiveDeadline().Sub(now)),
-			zap.Int("queued", agt.table.Queued()), zap.Float64("requests", agt.table.Load(now).Requests()))
+			zap.Int("queued", agt.table.Queued()), zap.Float64("requests", agt.table.Load(now).Requests()),
+			zap.Stringer("prospect", act.Prospect()), zap.Duration("work", agt.table.Work(act.Key().Service())))
 	}
 }
 
--- a/io/carry/meter.go
+++ b/io/carry/meter.go
@@ -53,8 +53,9 @@
 	malformed tally.Counter
 	resets    tally.Counter
 	probes    tally.Counter
-	queued    tally.Counter // Requests that had to wait for capacity.
-	admitted  tally.Counter // Those of them that were delivered.
+	queued    tally.Counter   // Requests that had to wait for capacity.
+	admitted  tally.Counter   // Those of them that were delivered.
+	routes    map[string]bool // Those that have counters of their own.
 }
 
 func newAgentMetrics(scope *stats.Scope) *agentMetrics {
@@ -65,6 +66,7 @@
 		probes:    scope.Counter("upstreamProbes"),
 		queued:    scope.Counter("requestsHeld"),
 		admitted:  scope.Counter("requestsAdmitted"),
+		routes:    make(map[string]bool),
 	}
 }
 
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -52,7 +52,7 @@
 	{"platform", "contracts", "", "name,...", "parts of the platform's terms in force; they decide what is switched on by auto", acceptAny},
 	{"serving", "judgeUpstreams", "auto", "", "judge upstreams by what callers get from them: on, off or auto", checkSwitch},
 	{"serving", "spillZones", "auto", "", "weigh the room of availability zones against the price of another one: on, off or auto", checkSwitch},
-	{"serving", "shedByCost", "auto", "", "when there is too little room, delay and refuse what costs callers least: on, off or auto", checkSwitch},
+	{"serving", "shedByCost", "off", "", "when there is too little room, delay and refuse what costs callers least: on, off or auto", checkSwitch},
 	{"serving", "yieldWhenWeak", "auto", "", "a balancer that lags leaves the rotation while others can carry its part: on, off or auto", checkSwitch},
 	{"tls", "cert", "cert.pem", "file", "certificate of the process", checkNotEmpty},
 	{"tls", "key", "key.pem", "file", "private key of the process", checkNotEmpty},
