--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -114,6 +114,7 @@
 	agt.table.SetService(encap.ServiceID(set.Service()))
 	agt.applyOwnZone()
 	agt.setColdLimit(time.Now())
+	agt.applySharing()
 }
 
 // leave tells the balancers that the agent is stopping. It does not wait: either
@@ -151,6 +152,7 @@
 		agt.table.SetState(stt)
 		agt.fleet.SetState(stt)
 		agt.setColdLimit(now)
+		agt.applySharing()
 	}
 	for _, itm := range items {
 		agt.applyEntry(itm, now)
