Judge upstreams by what callers get

Upstreams that fail a part of their requests, reset flows, stay mute or turn slow while their status checks are good kept getting flows while others of the service had room; one that fails at once even looked idle. Change: agents collect answers by route, resets and missing answers in a window that ages, and tell them in answers to heartbeats and openings, and at once when they change much; balancers compare the upstreams of a service by lower medians and keep new flows, but for some on trial, from those that serve callers much worse: two thresholds, at most a third of a service, 2 s after the last evidence at most. Off unless the settings or the platform's terms ask for it; status checks stay unread.

--- a/core/fleet/agent.go
+++ b/core/fleet/agent.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lagoondrum/core/encap"
+	"lagoondrum/core/judge"
 )
 
 // Timeouts and limits by which a balancer judges an agent.
@@ -32,6 +33,7 @@
 	incarnation     uint64
 	misses          int       // Unanswered openings in a row.
 	avoidUntil      time.Time // Until when new flows avoid the agent.
+	judged          judge.Subject
 	lapsedUntil     time.Time // Until when the agent is kept after its entry has gone; zero while it is listed.
 }
 
@@ -55,6 +57,9 @@
 // load report.
 func (agt *Agent) PendingOpenings() int { return agt.pending }
 
+// Judged returns what is believed of the upstream by what callers get from it.
+func (agt *Agent) Judged() *judge.Subject { return &agt.judged }
+
 // NoteOpeningSent records that an opening packet was sent to the agent.
 func (agt *Agent) NoteOpeningSent(now time.Time) {
 	agt.pending++
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -10,6 +10,7 @@
 
 	"lagoondrum/core/encap"
 	"lagoondrum/core/intent"
+	"lagoondrum/core/judge"
 )
 
 // lapseGrace is how long an upstream is kept after its entry has gone, while its
@@ -145,6 +146,7 @@
 		agt.avoidUntil = time.Time{}
 		agt.load = encap.Load{}
 		agt.pending = 0
+		agt.judged = judge.Subject{}
 	}
 	agt.upstream = ups
 	agt.serviceID = encap.ServiceID(ups.service)
@@ -170,6 +172,13 @@
 // Service returns the agents of a service, sorted by IP address.
 func (flt *Fleet) Service(name string) []*Agent { return flt.services[name] }
 
+// EachService calls visit for every service and its agents.
+func (flt *Fleet) EachService(visit func(name string, agents []*Agent)) {
+	for name, agts := range flt.services {
+		visit(name, agts)
+	}
+}
+
 // All returns every agent, sorted by IP address.
 func (flt *Fleet) All() []*Agent { return flt.all }
 
--- a/core/flows/admission.go
+++ b/core/flows/admission.go
@@ -14,9 +14,10 @@
 const (
 	minReserveTime = 10 * time.Millisecond // Bounds of how long capacity is reserved for the first request after its opening.
 	maxReserveTime = 100 * time.Millisecond
-	reserveFactor  = 3   // Capacity is reserved for this many times the average time from an opening to its request.
-	overdueFactor  = 3   // A request that waits for this many times the average answer time no longer counts against the limit.
-	averageGain    = 0.1 // Weight of a new value in the moving averages of times.
+	reserveFactor  = 3                      // Capacity is reserved for this many times the average time from an opening to its request.
+	overdueFactor  = 3                      // A request that waits for this many times the average answer time no longer counts against the limit.
+	unansweredTime = 500 * time.Millisecond // An overdue request without an answer for this long is evidence against the upstream: nearly all objectives are missed.
+	averageGain    = 0.1                    // Weight of a new value in the moving averages of times.
 )
 
 // sendOffsets are the times since the start of an attempt at which a client sends
@@ -164,6 +165,7 @@
 	adm := &tbl.admission
 	if adm.answerTime > 0 {
 		tbl.meter.markOverdue(now.Add(-overdueFactor * adm.answerTime))
+		tbl.window.NoteUnanswered(tbl.meter.takeUnanswered(now.Add(-unansweredTime)), now)
 	}
 	for !tbl.down && adm.queue.Len() > 0 && !tbl.full() {
 		pce := adm.pace()
--- a/core/flows/meter.go
+++ b/core/flows/meter.go
@@ -20,6 +20,7 @@
 	running   int // Requests that wait for an answer.
 	overdue   int // Those of them that have waited for much longer than others.
 	begun     []pendingRequest
+	waiting   []pendingRequest // Overdue ones that takeUnanswered has not looked at.
 	average   float64
 	updatedAt time.Time
 }
@@ -30,6 +31,11 @@
 	begunAt time.Time
 }
 
+// pending reports whether the request has neither ended nor been given up.
+func (req pendingRequest) pending() bool {
+	return req.record.requestPending && req.record.requestedAt.Equal(req.begunAt)
+}
+
 // begin counts the request of a flow, unless one is running already.
 func (mtr *meter) begin(rec *record, now time.Time) {
 	if !rec.requestPending {
@@ -58,7 +64,7 @@
 func (mtr *meter) markOverdue(begunUntil time.Time) {
 	for len(mtr.begun) > 0 {
 		req := mtr.begun[0]
-		pending := req.record.requestPending && req.record.requestedAt.Equal(req.begunAt)
+		pending := req.pending()
 		if pending && req.begunAt.After(begunUntil) {
 			return
 		}
@@ -66,8 +72,22 @@
 		if pending {
 			req.record.requestOverdue = true
 			mtr.overdue++
+			mtr.waiting = append(mtr.waiting, req)
+		}
+	}
+}
+
+// takeUnanswered returns how many of the overdue requests began at or before a time and
+// have no answer, and counts each of them once.
+func (mtr *meter) takeUnanswered(begunUntil time.Time) int {
+	count := 0
+	for len(mtr.waiting) > 0 && !mtr.waiting[0].begunAt.After(begunUntil) {
+		if mtr.waiting[0].pending() {
+			count++
 		}
+		mtr.waiting = mtr.waiting[1:]
 	}
+	return count
 }
 
 // advance brings the moving average up to now.
--- a/core/flows/table.go
+++ b/core/flows/table.go
@@ -12,6 +12,7 @@
 	"lagoondrum/core/encap"
 	"lagoondrum/core/flow"
 	"lagoondrum/core/intent"
+	"lagoondrum/core/judge"
 )
 
 // Timeouts and limits of the table.
@@ -93,6 +94,7 @@
 	state       *intent.State // The desired state in force; nil before the first one.
 	meter       meter
 	admission   admission
+	window      *judge.Window // What callers get from the upstream; nil while nobody judges that.
 	actions     []Action
 }
 
@@ -113,6 +115,15 @@
 	}
 }
 
+// CollectEvidence makes the table collect what callers get from the upstream.
+func (tbl *Table) CollectEvidence() { tbl.window = judge.NewWindow() }
+
+// Evidence returns what callers got from the upstream lately.
+func (tbl *Table) Evidence(now time.Time) judge.Evidence { return tbl.window.Evidence(now) }
+
+// EvidenceIsNews reports whether balancers are to be told the evidence at once.
+func (tbl *Table) EvidenceIsNews(now time.Time) bool { return tbl.window.News(now) }
+
 // SetComplete records that the upstream holds no flow from before this table.
 func (tbl *Table) SetComplete() { tbl.complete = true }
 
--- a/core/flows/tick.go
+++ b/core/flows/tick.go
@@ -46,6 +46,7 @@
 	}
 	if !rec.silentReported {
 		rec.silentReported = true
+		tbl.window.NoteUnanswered(1, now)
 		tbl.notify(rec.balancer, encap.New(encap.Refused, tbl.service, key).WithReason(encap.Silent), nil, now)
 	}
 }
@@ -90,6 +91,7 @@
 		tbl.complete = true // An upstream that starts there next holds no flows.
 		tbl.answerDue = time.Time{}
 		tbl.markAllEnded()
+		tbl.window.Clear()
 	case NoAnswer:
 	}
 	return wasDown != tbl.down
--- a/core/flows/upstream.go
+++ b/core/flows/upstream.go
@@ -38,6 +38,9 @@
 	case pkt.Has(flow.Syn):
 		tbl.handleOpenAnswer(key, rec, pkt, now)
 	case pkt.Has(flow.Rst):
+		if rec.requestPending || rec.phase == opening {
+			tbl.window.NoteReset(now)
+		}
 		tbl.close(rec, now)
 	default:
 		tbl.noteUpstreamPacket(key, rec, pkt, now)
@@ -47,6 +50,9 @@
 // handleOpenAnswer handles the upstream's answer to an opening packet.
 func (tbl *Table) handleOpenAnswer(key flow.Key, rec *record, pkt flow.Packet, now time.Time) {
 	delete(tbl.unanswered, key)
+	if rec.silentReported && !rec.accepted {
+		tbl.window.NoteLateAnswer(now)
+	}
 	if rec.phase == opening || rec.phase == halfOpen {
 		rec.phase = halfOpen
 	}
@@ -74,6 +80,7 @@
 	}
 	if pkt.DataBytes() > 0 && rec.requestPending {
 		tbl.admission.noteAnswerTime(now.Sub(rec.requestedAt))
+		tbl.window.NoteAnswer(key.Service(), now.Sub(rec.requestedAt), now)
 		tbl.meter.end(rec, now)
 	}
 	if pkt.Has(flow.Fin) {
--- a/core/picker/place.go
+++ b/core/picker/place.go
@@ -19,6 +19,8 @@
 	coldFactor        = 1.6  // A cold upstream takes this many times as long.
 	unheardPenalty    = 10   // For an agent never heard from, as just after a start: agents known to run come first.
 	suspectPenalty    = 1000 // For a suspect agent (missed answers, announced restart): chosen only when no other is left.
+	judgedPenalty     = 8    // For an upstream that serves callers badly: this many requests more for each slot wait at others, about as long as a caller can wait.
+	trialShare        = 128  // One in this many flows that an upstream is a candidate for is placed as if it were not suspect, so that it shows when it has recovered: a sixteenth of its usual flows.
 	jitterWeight      = 0.05 // Range of a term by hash, so that balancers with the same load reports choose differently.
 )
 
@@ -63,12 +65,15 @@
 	Load    float64 // Requests and flows for each slot, more for a cold upstream.
 	Zone    float64 // Another availability zone.
 	Unheard float64 // The agent was never heard.
-	Suspect float64 // The agent or its upstream is suspect.
+	Suspect float64 // The agent does not answer in time, or restarts.
+	Judged  float64 // Callers are served badly by the upstream.
 	Jitter  float64 // Differs between flows, so that equal agents share them.
 }
 
 // Total returns the sum by which agents are compared.
-func (cst Cost) Total() float64 { return cst.Load + cst.Zone + cst.Unheard + cst.Suspect + cst.Jitter }
+func (cst Cost) Total() float64 {
+	return cst.Load + cst.Zone + cst.Unheard + cst.Suspect + cst.Judged + cst.Jitter
+}
 
 // CostOf returns the cost of giving an agent a new flow.
 func (chs *Chooser) CostOf(agt *fleet.Agent, hash uint64, now time.Time) Cost {
@@ -87,9 +92,15 @@
 	if !agt.Healthy(now) {
 		cst.Suspect = suspectPenalty
 	}
+	if agt.Judged().Suspect() && !Trial(hash, ups.Address()) {
+		cst.Judged = judgedPenalty
+	}
 	return cst
 }
 
+// Trial reports whether a flow is placed as if an upstream were not suspect.
+func Trial(hash uint64, ip [4]byte) bool { return Score(hash, ip)%trialShare == 0 }
+
 // topCandidates returns the usable agents with the highest scores for a flow, or
 // all agents of a small service.
 func topCandidates(agents []*fleet.Agent, hash uint64, now time.Time) []*fleet.Agent {
--- a/core/simul/overload.go
+++ b/core/simul/overload.go
@@ -42,7 +42,10 @@
 	ColdFactor float64       // By how much a cold upstream is slower.
 	Surge      float64       // Factor on the rates during the first second; 0 for none.
 	Mute       float64       // Fraction of its requests that the first upstream never answers from the start on.
-	Unqueued   bool          // Agents do not know the slots of their upstreams, so that nothing waits at them.
+	Bad        int           // Upstreams, the first ones, that have the defect from the start on.
+	Defect     Defect
+	Judged     bool // Balancers judge upstreams by what callers get.
+	Unqueued   bool // Agents do not know the slots of their upstreams, so that nothing waits at them.
 }
 
 // upstreams returns how many upstreams all services have.
@@ -90,6 +93,7 @@
 	Windows                [loadWindows]LoadCount // By the time of the first attempt.
 	Classes                []LoadCount
 	Muted                  int // Measured requests that an upstream took and never answered.
+	FalseVerdicts          int // Verdicts against upstreams without a defect.
 	RefusedBesideFreeSlots int // Openings that were refused while an upstream of their route had a free slot and nothing queued.
 }
 
@@ -130,6 +134,7 @@
 	lastPort  []uint16      // By caller.
 	lastISN   uint32
 
+	falseVerdicts          int
 	refusedBesideFreeSlots int
 }
 
@@ -143,7 +148,7 @@
 // RunLoad simulates a load.
 func RunLoad(scn LoadScenario, seed uint64) LoadResult {
 	run := playLoad(scn, seed)
-	res := LoadResult{Classes: make([]LoadCount, len(scn.Classes)), RefusedBesideFreeSlots: run.refusedBesideFreeSlots}
+	res := LoadResult{Classes: make([]LoadCount, len(scn.Classes)), FalseVerdicts: run.falseVerdicts, RefusedBesideFreeSlots: run.refusedBesideFreeSlots}
 	for _, req := range run.measured() {
 		res.Total.note(req)
 		if req.muted {
@@ -278,6 +283,7 @@
 
 // sendHeartbeats has every balancer ask every agent for its load.
 func (run *loadRun) sendHeartbeats() {
+	run.reviewUpstreams()
 	for num, blc := range run.balancers {
 		for _, ups := range run.upstreams {
 			if blc.table != nil {
@@ -297,6 +303,7 @@
 
 // sendToBalancer delivers a datagram of an agent to a balancer.
 func (run *loadRun) sendToBalancer(num int, hdr encap.Header, raw []byte, ups *loadUpstream) {
+	evd := ups.table.Evidence(run.Now())
 	run.Schedule(hopDelay, func() {
 		blc := run.balancers[num]
 		if blc.table == nil {
@@ -304,6 +311,9 @@
 		}
 		if agt := blc.fleet.Agent(ups.ip()); agt != nil {
 			agt.NoteHeard(hdr, run.Now())
+			if hdr.Kind() == encap.Heartbeat || hdr.Kind() == encap.Opened {
+				run.hearEvidence(agt, evd)
+			}
 		}
 		if hdr.Kind() != encap.Heartbeat {
 			blc.table.HandleAgentDatagram(hdr, raw, ups.ip(), run.Now())
--- a/core/simul/overload_caller.go
+++ b/core/simul/overload_caller.go
@@ -62,6 +62,7 @@
 	requestEnd uint32 // The sequence number after the request's data; 0 until it is sent.
 	accepted   bool   // An upstream has the request.
 	refused    bool   // The upstream refused it without running it.
+	failed     bool   // The upstream answered with an error.
 	ended      bool
 }
 
@@ -158,6 +159,10 @@
 	if att == nil || att.ended || att.request.ended {
 		return
 	}
+	if pkt.Has(flow.Rst) {
+		run.handleReset(key)
+		return
+	}
 	flw := att.flow
 	if pkt.Has(flow.Syn) {
 		if !flw.open {
@@ -177,6 +182,14 @@
 		run.retry(att.request)
 		return
 	}
+	if att.failed {
+		if att.request.class.Idempotent {
+			run.retry(att.request)
+		} else {
+			att.request.ended = true
+		}
+		return
+	}
 	att.request.answeredAt = run.Now()
 	att.request.ended = true
 }
--- a/core/simul/overload_test.go
+++ b/core/simul/overload_test.go
@@ -21,6 +21,7 @@
 		}
 		sum.Muted += res.Muted
 		sum.RefusedBesideFreeSlots += res.RefusedBesideFreeSlots
+		sum.FalseVerdicts += res.FalseVerdicts
 	}
 	return sum
 }
--- a/core/simul/overload_upstream.go
+++ b/core/simul/overload_upstream.go
@@ -58,6 +58,9 @@
 func (run *loadRun) startAgent(num int) {
 	ups := run.upstreams[num]
 	ups.table = flows.New(encap.ServiceID(serviceName(ups.service)), loadIdleTimeout, run.Now(), true)
+	if run.scenario.Judged {
+		ups.table.CollectEvidence()
+	}
 	if !run.scenario.Unqueued {
 		ups.table.SetSlots(run.scenario.Slots)
 	}
@@ -148,6 +151,9 @@
 		att.request.muted = true
 		return
 	}
+	if run.fails(ups, att, key) {
+		return
+	}
 	req := &upstreamRequest{key: key, end: pkt.EndSeq(), work: att.request.work}
 	switch {
 	case ups.running < run.scenario.Slots:
@@ -162,7 +168,7 @@
 
 func (run *loadRun) runRequest(ups *loadUpstream, req *upstreamRequest) {
 	ups.running++
-	took, incarnation := req.work, ups.incarnation
+	took, incarnation := time.Duration(float64(req.work)*run.slowness(ups)), ups.incarnation
 	if run.Now().Before(ups.coldUntil) {
 		took = time.Duration(float64(took) * run.scenario.ColdFactor)
 	}
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -43,6 +43,7 @@
 	fleet           *fleet.Fleet
 	tracker         *intent.Tracker // Its history is served to balancers that start when no other balancer is running.
 	metrics         *agentMetrics
+	judges          bool                         // Balancers are told what callers get from the upstream.
 	foreignEntry    string                       // ID of the last entry with this VM's address that is not its upstream's.
 	balancerHeardAt map[netip.AddrPort]time.Time // When the last heartbeat of each balancer arrived.
 	wake            chan struct{}
@@ -76,6 +77,9 @@
 		wake:            make(chan struct{}, 1),
 		gauges:          gauges{scope: bas.scope},
 	}
+	if agt.judges = judgesUpstreams(set); agt.judges {
+		agt.table.CollectEvidence()
+	}
 	bas.replica.OnChange(agt.applyChanges, agt)
 	if err := bas.serveHTTP(); err != nil {
 		return err
@@ -341,6 +345,7 @@
 	agt.fleet.Tick(now)
 	agt.table.Tick(now)
 	agt.perform(now)
+	agt.tellNews(now)
 	agt.flush()
 	agt.updateGauges(now)
 	if agt.table.NeedsTick() {
--- a/io/carry/agent_actions.go
+++ b/io/carry/agent_actions.go
@@ -25,7 +25,11 @@
 			agt.packetSender.addPacket(act.Packet(), agt.clientAddr(act.Key()))
 		case flows.ToBalancer:
 			agt.noteFlowMessage(act)
-			agt.peerSender.addDatagram(act.Header().WithRevision(agt.replica.Revision()), act.Packet(), endpointAddrPort(act.Balancer()))
+			payload := act.Packet()
+			if act.Header().Kind() == encap.Opened {
+				payload = agt.appendEvidence(nil, now)
+			}
+			agt.peerSender.addDatagram(act.Header().WithRevision(agt.replica.Revision()), payload, endpointAddrPort(act.Balancer()))
 		case flows.Reset:
 			agt.metrics.resets.Inc(1)
 			agt.packetSender.addPacket(platform.NewReset(act.Key(), act.Seq()), agt.clientAddr(act.Key()))
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -40,7 +40,8 @@
 	fleet            *fleet.Fleet
 	table            *track.Table
 	metrics          *balancerMetrics
-	lastPacketAt     time.Time // When the last client packet arrived.
+	judge            *upstreamJudge // Nil unless upstreams are judged.
+	lastPacketAt     time.Time      // When the last client packet arrived.
 	heartbeatDueAt   time.Time
 	heartbeatTargets [][4]byte             // Agents that have not been sent a heartbeat in the current round.
 	namedUntil       map[[4]byte]time.Time // Balancers that other balancers named, with the time when the entry expires.
@@ -74,6 +75,7 @@
 		wake:         make(chan struct{}, 1),
 		gauges:       gauges{scope: bas.scope},
 	}
+	blc.judge = newUpstreamJudge(set, blc.fleet, log, bas.scope)
 	blc.table = track.New(set.Place().Zone(), set.LinkBytes(), blc.tracker, blc.fleet)
 	bas.replica.OnChange(blc.applyChanges, blc)
 	if err := bas.serveHTTP(); err != nil {
@@ -200,6 +202,9 @@
 			continue
 		}
 		blc.replica.HeardRevision(from, hdr.Revision())
+		if agt := blc.fleet.Agent(from.Addr().As4()); agt != nil && hdr.Kind() == encap.Opened {
+			blc.noteFields(agt, box.Data(i)[encap.HeaderBytes:], now)
+		}
 		blc.table.HandleAgentDatagram(hdr, box.Data(i)[encap.HeaderBytes:], from.Addr().As4(), now)
 		blc.perform(now)
 	}
@@ -244,6 +249,7 @@
 func (blc *balancer) noteDecision(act track.Action, outcome string, now time.Time) {
 	blc.metrics.countDecision(act.Cause())
 	agt := blc.fleet.Agent(act.Agent())
+	blc.judge.noteAsked(act, agt)
 	if act.Cause() == track.Answered && agt != nil {
 		blc.metrics.recordOpening(agt.Upstream().Service(), act.Took())
 	}
@@ -277,6 +283,7 @@
 	blc.mu.Lock()
 	defer blc.mu.Unlock()
 	blc.fleet.Tick(now)
+	blc.judge.review(now)
 	blc.tracker.Confirm(blc.replica.ConfirmedAt())
 	blc.table.Tick(now)
 	blc.perform(now)
--- a/io/carry/fields.go
+++ b/io/carry/fields.go
@@ -10,9 +10,8 @@
 
 // heartbeatFields returns the payload of the agent's heartbeats to balancers: what
 // they are told besides the header.
-func (agt *agent) heartbeatFields(_ time.Time) []byte {
-	var payload []byte
-	return payload
+func (agt *agent) heartbeatFields(now time.Time) []byte {
+	return agt.appendEvidence(nil, now)
 }
 
 // notePayload handles the payload of a heartbeat: of a balancer the names of others, of
@@ -25,14 +24,18 @@
 	}
 }
 
-// noteFields handles the payload of an agent's heartbeat.
-func (blc *balancer) noteFields(_ *fleet.Agent, payload []byte, _ time.Time) {
-	wellFormed := encap.EachField(payload, func(fld encap.Field, _ []byte) {
+// noteFields handles the fields in the payload of an agent's heartbeat, or of its answer
+// to an opening.
+func (blc *balancer) noteFields(agt *fleet.Agent, payload []byte, now time.Time) {
+	valid := true
+	wellFormed := encap.EachField(payload, func(fld encap.Field, value []byte) {
 		switch fld {
-		case encap.ColdRoomField, encap.EvidenceField, encap.BacklogField:
+		case encap.EvidenceField:
+			valid = blc.judge.hear(agt, value, now) && valid
+		case encap.ColdRoomField, encap.BacklogField:
 		}
 	})
-	if !wellFormed {
+	if !wellFormed || !valid {
 		blc.metrics.malformed.Inc(1)
 	}
 }
