--- a/core/fleet/agent.go
+++ b/core/fleet/agent.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lagoondrum/core/encap"
+	"lagoondrum/core/judge"
 	"lagoondrum/core/warm"
 )
 
@@ -35,6 +36,7 @@
 	misses          int       // Unanswered openings in a row.
 	avoidUntil      time.Time // Until when new flows avoid the agent.
 	vouched         bool      // The agent was heard, beside an upstream of the service that is listed here.
+	judged          judge.Subject
 	lapsedUntil     time.Time // Until when the agent is kept after its entry has gone; zero while it is listed.
 	coldLimit       int       // Openings that the upstream may get in any second while it is cold.
 	coldLimited     bool
@@ -61,6 +63,9 @@
 // load report.
 func (agt *Agent) PendingOpenings() int { return agt.pending }
 
+// Judged returns what is believed of the upstream by what callers get from it.
+func (agt *Agent) Judged() *judge.Subject { return &agt.judged }
+
 // NoteOpeningSent records that an opening packet was sent to the agent.
 func (agt *Agent) NoteOpeningSent(now time.Time) {
 	agt.pending++
--- a/core/simul/overload.go
+++ b/core/simul/overload.go
@@ -49,6 +49,9 @@
 	Restarted  bool          // All agents restart at the start, while their upstreams run on.
 	ReportLag  time.Duration // By how much heartbeats of agents are late.
 	Remote     bool          // All upstreams are in another availability zone than the balancers.
+	Bad        int           // Upstreams, the first ones, that have the defect from the start on.
+	Defect     Defect
+	Judged     bool // Balancers judge upstreams by what callers get.
 }
 
 // upstreams returns how many upstreams all services have.
@@ -97,6 +100,7 @@
 	Windows                [loadWindows]LoadCount // By the time of the first attempt.
 	Classes                []LoadCount
 	Muted                  int // Measured requests that an upstream took and never answered.
+	FalseVerdicts          int // Verdicts against upstreams without a defect.
 	RefusedBesideFreeSlots int // Openings that were refused while an upstream of their route had a free slot and nothing queued.
 }
 
@@ -147,6 +151,7 @@
 	lastPort  []uint16      // By caller.
 	lastISN   uint32
 
+	falseVerdicts          int
 	refusedBesideFreeSlots int
 }
 
@@ -160,7 +165,7 @@
 // RunLoad simulates a load.
 func RunLoad(scn LoadScenario, seed uint64) LoadResult {
 	run := playLoad(scn, seed)
-	res := LoadResult{Classes: make([]LoadCount, len(scn.Classes)), RefusedBesideFreeSlots: run.refusedBesideFreeSlots}
+	res := LoadResult{Classes: make([]LoadCount, len(scn.Classes)), FalseVerdicts: run.falseVerdicts, RefusedBesideFreeSlots: run.refusedBesideFreeSlots}
 	for _, req := range run.measured() {
 		res.Total.note(req)
 		if req.muted {
@@ -300,6 +305,7 @@
 
 // sendHeartbeats has every balancer ask every agent for its load.
 func (run *loadRun) sendHeartbeats() {
+	run.reviewUpstreams()
 	for num, blc := range run.balancers {
 		for _, ups := range run.upstreams {
 			if blc.table != nil {
@@ -319,6 +325,7 @@
 
 // sendToBalancer delivers a datagram of an agent to a balancer.
 func (run *loadRun) sendToBalancer(num int, hdr encap.Header, raw []byte, ups *loadUpstream) {
+	evd := ups.table.Evidence(run.Now())
 	run.Schedule(hopDelay, func() {
 		blc := run.balancers[num]
 		if blc.table == nil {
@@ -326,6 +333,9 @@
 		}
 		if agt := blc.fleet.Agent(ups.ip()); agt != nil {
 			agt.NoteHeard(hdr, run.Now())
+			if hdr.Kind() == encap.Heartbeat || hdr.Kind() == encap.Opened {
+				run.hearEvidence(agt, evd)
+			}
 		}
 		if hdr.Kind() != encap.Heartbeat {
 			blc.table.HandleAgentDatagram(hdr, raw, ups.ip(), run.Now())
--- a/io/carry/fields.go
+++ b/io/carry/fields.go
@@ -11,8 +11,7 @@
 // heartbeatFields returns the payload of the agent's heartbeats to balancers: what
 // they are told besides the header.
 func (agt *agent) heartbeatFields(now time.Time) []byte {
-	var payload []byte
-	return agt.appendColdRoom(payload, now)
+	return agt.appendEvidence(agt.appendColdRoom(nil, now), now)
 }
 
 // notePayload handles the payload of a heartbeat: of a balancer the names of others, of
@@ -26,16 +25,20 @@
 	}
 }
 
-// noteFields handles the payload of an agent's heartbeat.
+// noteFields handles the fields in the payload of an agent's heartbeat, or of its answer
+// to an opening.
 func (blc *balancer) noteFields(agt *fleet.Agent, payload []byte, now time.Time) {
+	valid := true
 	wellFormed := encap.EachField(payload, func(fld encap.Field, value []byte) {
 		switch fld {
+		case encap.EvidenceField:
+			valid = blc.judge.hear(agt, value, now) && valid
 		case encap.ColdRoomField:
 			blc.noteColdRoom(agt, value, now)
-		case encap.EvidenceField, encap.BacklogField:
+		case encap.BacklogField:
 		}
 	})
-	if !wellFormed {
+	if !wellFormed || !valid {
 		blc.metrics.malformed.Inc(1)
 	}
 }
