--- a/io/carry/cold.go
+++ b/io/carry/cold.go
@@ -42,8 +42,12 @@
 	if src == warm.NotCold {
 		msg = "cold limit ended"
 	}
-	agt.log.Info(msg, zap.Int("limit", gat.Limit()), zap.Float64("rate", agt.coldRate()), zap.Stringer("source", src), zap.Stringer("formerSource", agt.coldSource),
-		zap.Time("entrySaysUntil", gat.EntryUntil()), zap.Int("refused", gat.TakeRefused()))
+	fields := []zap.Field{zap.Int("limit", gat.Limit()), zap.Float64("rate", agt.coldRate()), zap.Stringer("source", src),
+		zap.Stringer("formerSource", agt.coldSource), zap.Int("refused", gat.TakeRefused())}
+	if until := gat.EntryUntil(); !until.IsZero() {
+		fields = append(fields, zap.Time("entrySaysUntil", until))
+	}
+	agt.log.Info(msg, fields...)
 	agt.coldSource = src
 }
 
