Explain where callers' packets would go

Operators could see where a flow went, from the logs, but not where the next one would go, nor who is left out and for what. A running balancer or agent now answers that at the address of its metrics, and 'lagoondrum explain-flow' prints it. The balancer runs the code of the choice on a copy of the chooser and changes nothing; the agent tells why an opening would be refused. Each belief comes with its age and source.

--- a/cmd/lagoondrum/commands.go
+++ b/cmd/lagoondrum/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/url"
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -9,6 +10,7 @@
 	"lagoondrum/io/conf"
 	"lagoondrum/io/proc"
 	"lagoondrum/io/tool"
+	"lagoondrum/io/where"
 )
 
 // commands parses the command line and holds the handler of each command. Flags are
@@ -93,6 +95,35 @@
 	customer := explain.Arg("customer", "Name of the customer.").Required().String()
 	service := explain.Arg("service", "Name of the service.").Required().String()
 	cmds.register(explain, func(context.Context) error { return tool.Explain(os.Stdout, cmds.api, *customer, *service) })
+	cmds.addExplainFlow()
+}
+
+// addExplainFlow adds the command that explains where callers' packets would go. It asks
+// a process on the port of its metrics, as there is no administration API there.
+func (cmds *commands) addExplainFlow() {
+	cmd := cmds.app.Command("explain-flow", "Print where a flow of packets to an address would go now, and why, without sending it.")
+	cmd.Flag("process", "URL of the metrics of the balancer or agent that is asked.").Default("http://127.0.0.1:7853").StringVar(&cmds.api.URL)
+	cmd.Flag("timeout", "How long the process may take to answer.").Default("5s").DurationVar(&cmds.api.Timeout)
+	client := cmd.Flag("client", "Address and port of the client; without it every service of the route is explained.").String()
+	asJSON := cmd.Flag("json", "Print the answer as it is (JSON).").Bool()
+	address := cmd.Arg("address", "Address and port that the client sends to.").Required().String()
+	cmd.Validate(func(*kingpin.CmdClause) error {
+		if target, err := url.Parse(cmds.api.URL); err != nil || target.Scheme != "http" || target.Host == "" {
+			return invalidProcessError{}
+		}
+		_, err := where.Query(*address, *client)
+		return err
+	})
+	cmds.register(cmd, func(context.Context) error {
+		return tool.ExplainFlow(os.Stdout, cmds.api, *address, *client, *asJSON)
+	})
+}
+
+// invalidProcessError reports a URL of a process that is not one.
+type invalidProcessError struct{}
+
+func (invalidProcessError) Error() string {
+	return "the process must be a URL, as http://10.0.0.1:9464"
 }
 
 // addAPIFlags adds the flags for access to a process's administration API.
--- a/core/fleet/agent.go
+++ b/core/fleet/agent.go
@@ -70,6 +70,15 @@
 	}
 }
 
+// WithOpening returns a copy of the agent as it is once it was sent an opening and has
+// reported the same load as before. The agent stays as it is.
+func (agt *Agent) WithOpening(now time.Time) *Agent {
+	cpy := *agt
+	cpy.NoteOpeningSent(now)
+	cpy.pending = agt.pending
+	return &cpy
+}
+
 // NoteMessageSent records that the agent was sent a message that it has to answer.
 func (agt *Agent) NoteMessageSent(now time.Time) {
 	if agt.unansweredSince.IsZero() {
--- a/core/intent/intent.go
+++ b/core/intent/intent.go
@@ -18,6 +18,12 @@
 // NewShare returns the share of a service with its weight.
 func NewShare(service string, weight int) Share { return Share{service: service, weight: weight} }
 
+// Service returns the service.
+func (shr Share) Service() string { return shr.service }
+
+// Weight returns the weight.
+func (shr Share) Weight() int { return shr.weight }
+
 // Route distributes the new flows of one address over services.
 type Route struct {
 	name        string
@@ -68,6 +74,9 @@
 	return ""
 }
 
+// Shares returns the shares of the services that the route leads to.
+func (rte *Route) Shares() []Share { return rte.shares }
+
 // Services returns the services that the route leads to.
 func (rte *Route) Services() []string {
 	names := make([]string, 0, len(rte.shares))
--- a/core/track/opening.go
+++ b/core/track/opening.go
@@ -8,6 +8,7 @@
 	"lagoondrum/core/encap"
 	"lagoondrum/core/fleet"
 	"lagoondrum/core/flow"
+	"lagoondrum/core/intent"
 	"lagoondrum/core/picker"
 )
 
@@ -213,16 +214,22 @@
 	if !ent.queueIfFull && ent.coldRefusals == 0 || ent.unanswered {
 		return
 	}
-	var agts []*fleet.Agent
-	for _, name := range ent.route.Services() {
-		if agt := tbl.chooser.Choose(tbl.fleet.Service(name), ent.attempted, ent.hash, now); agt != nil {
-			agts = append(agts, agt)
-		}
-	}
-	agt := tbl.chooser.Choose(agts, ent.attempted, ent.hash, now)
+	agt := bestOfRoute(tbl.chooser, ent.route, tbl.fleet.Service, ent.attempted, ent.hash, now)
 	if agt == nil || agt.Upstream().Service() == ent.service {
 		return
 	}
 	ent.service, ent.serviceID = agt.Upstream().Service(), agt.ServiceID()
 	tbl.notice(key, Overflowed, agt.IP())
 }
+
+// bestOfRoute returns the agent that costs least among the best ones of the route's
+// services, whose agents agentsOf returns, or nil.
+func bestOfRoute(chs *picker.Chooser, rte *intent.Route, agentsOf func(service string) []*fleet.Agent, tried func([4]byte) bool, hash uint64, now time.Time) *fleet.Agent {
+	var agts []*fleet.Agent
+	for _, name := range rte.Services() {
+		if agt := chs.Choose(agentsOf(name), tried, hash, now); agt != nil {
+			agts = append(agts, agt)
+		}
+	}
+	return chs.Choose(agts, tried, hash, now)
+}
--- a/core/warm/gate.go
+++ b/core/warm/gate.go
@@ -105,13 +105,19 @@
 	if gat.started && gat.limited && gat.presumedUntil.IsZero() {
 		gat.presumedUntil = now.Add(presumption)
 	}
-	if gat.Source(now) == NotCold || gat.hasRoom(now) {
+	if gat.WouldOpen(now) {
 		return true
 	}
 	gat.refused++
 	return false
 }
 
+// WouldOpen reports whether the upstream may get another opening now, and changes
+// nothing.
+func (gat *Gate) WouldOpen(now time.Time) bool {
+	return gat.Source(now) == NotCold || gat.hasRoom(now)
+}
+
 func (gat *Gate) hasRoom(now time.Time) bool {
 	at := gat.window.roomAt()
 	return !at.IsZero() && !now.Before(at)
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -79,7 +79,7 @@
 		gauges:          gauges{scope: bas.scope},
 	}
 	bas.replica.OnChange(agt.applyChanges, agt)
-	if err := bas.serveHTTP(); err != nil {
+	if err := bas.serveHTTP(agt); err != nil {
 		return err
 	}
 	bas.supervisor.Add(bas.replica)
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -82,7 +82,7 @@
 	blc.startWatch(time.Now())
 	blc.table.SetZonesWeighed(weighsZones(set))
 	bas.replica.OnChange(blc.applyChanges, blc)
-	if err := bas.serveHTTP(); err != nil {
+	if err := bas.serveHTTP(blc); err != nil {
 		return err
 	}
 	bas.supervisor.Add(bas.replica)
--- a/io/carry/base.go
+++ b/io/carry/base.go
@@ -27,6 +27,7 @@
 	"lagoondrum/io/logs"
 	"lagoondrum/io/mmsg"
 	"lagoondrum/io/stats"
+	"lagoondrum/io/where"
 	"lagoondrum/platform"
 )
 
@@ -105,14 +106,15 @@
 	return intent.NewTracker(now)
 }
 
-// serveHTTP adds the process's HTTP servers to its supervisor.
-func (bas *base) serveHTTP() error {
+// serveHTTP adds the HTTP servers of the process prc to its supervisor.
+func (bas *base) serveHTTP(prc where.Process) error {
 	changes := http.NewServeMux()
 	changes.Handle(gossip.ChangesPath, bas.replica)
 	ready := http.NewServeMux()
 	ready.HandleFunc(platform.ReadyPath, bas.serveReady)
 	metrics := http.NewServeMux()
 	metrics.Handle("/metrics", bas.scope)
+	metrics.Handle(where.Path, where.NewHandler(prc, bas.log))
 	for addr, mux := range map[netip.AddrPort]*http.ServeMux{
 		bas.self:                      changes,
 		bas.settings.ReadyAddress():   ready,
--- a/io/doc.go
+++ b/io/doc.go
@@ -6,6 +6,7 @@
 // agent ends the connections beside an upstream, peer connects the processes, feed
 // reads the lists, admin and tool serve the operators, caller is the Go client and
 // trust holds certificates. Callers with packets of the platform's own: carry is
-// both the balancer and the agent, gossip spreads the platform's state. fault tests
-// the processes under faults against the stand-ins of stand.
+// both the balancer and the agent, gossip spreads the platform's state, where tells
+// operators where a flow would go. fault tests the processes under faults against the
+// stand-ins of stand.
 package io
