Keep a balancer out of the rotation while it lags

A balancer returned after its stay although answers to its heartbeats still told that its link was narrow, and lost requests a second time. Change: it stays out while it is weak. Test: TestBalancerStaysOutWhileItLags.

--- a/core/yield/yield.go
+++ b/core/yield/yield.go
@@ -89,7 +89,7 @@
 			pol.leave(now)
 		}
 	case encap.Out:
-		if !now.Before(pol.returnAt) {
+		if !weak && !now.Before(pol.returnAt) {
 			pol.standing = encap.Sound
 			pol.relapseBy = now.Add(relapseTime)
 		}
--- a/core/yield/yield_test.go
+++ b/core/yield/yield_test.go
@@ -24,6 +24,7 @@
 type zone struct {
 	policies []*Policy
 	late     map[int]bool
+	narrow   bool // The late ones lag also while they are out.
 	deaf     bool // Heartbeats between the balancers are lost.
 	now      time.Time
 	maxOut   int
@@ -58,7 +59,7 @@
 		out := 0
 		for num, pol := range zon.policies {
 			lateness := time.Millisecond
-			if zon.late[num] && pol.Standing() != encap.Out {
+			if zon.late[num] && (pol.Standing() != encap.Out || zon.narrow) {
 				lateness = 500 * time.Millisecond
 			}
 			pol.Decide(sampleOf(lateness), zon.now)
@@ -131,6 +132,17 @@
 	assert.Equal(t, returns, 3, "after 5, 10 and 20 s")
 }
 
+// Heartbeats that are slow tell that a link is narrow, also without load.
+func TestBalancerStaysOutWhileItLags(t *testing.T) {
+	zon := newZone(8, 3)
+	zon.narrow = true
+	zon.run(3*time.Second + 2*shortestStay)
+	assertOut(t, zon, 3)
+	zon.late[3] = false
+	zon.run(interval)
+	assertOut(t, zon)
+}
+
 func TestBalancerReturnsOnceItIsStrong(t *testing.T) {
 	zon := newZone(8, 3)
 	zon.run(3 * time.Second)
