Detect a pause of an agent before its first tick

So what had waited in its socket for 3 s looked fresh, ran 2 ms after the wake, and its caller had given up. Change: the detector counts from when it is made. Test: TestDelayAfterPauseBeforeTheFirstTick.

--- a/core/health/pause.go
+++ b/core/health/pause.go
@@ -15,11 +15,19 @@
 // that arrives right after may have waited in a socket buffer for the whole
 // pause, so the length of the pause is subtracted from its deadline.
 type PauseDetector struct {
-	lastTickAt   atomic.Int64 // In Unix ns; 0 before the first tick.
+	lastTickAt   atomic.Int64 // In Unix ns; at first when the detector was made.
 	pauseLength  atomic.Int64 // Length of the last pause, in ns.
 	backlogUntil atomic.Int64 // Until when arrivals may have waited for the last pause, in Unix ns.
 }
 
+// NewPauseDetector returns a detector of a process that runs at now. A pause before the
+// first tick is detected too.
+func NewPauseDetector(now time.Time) *PauseDetector {
+	det := &PauseDetector{}
+	det.lastTickAt.Store(now.UnixNano())
+	return det
+}
+
 // Tick records that the process runs. It has to be called at intervals shorter than
 // PauseThreshold.
 func (det *PauseDetector) Tick(now time.Time) {
@@ -41,10 +49,7 @@
 	return 0
 }
 
-// sinceTick returns the time since the last tick, 0 before the first one.
+// sinceTick returns the time since the last tick.
 func (det *PauseDetector) sinceTick(now time.Time) time.Duration {
-	if at := det.lastTickAt.Load(); at != 0 {
-		return time.Duration(now.UnixNano() - at)
-	}
-	return 0
+	return time.Duration(now.UnixNano() - det.lastTickAt.Load())
 }
--- a/core/health/pause_test.go
+++ b/core/health/pause_test.go
@@ -10,7 +10,7 @@
 )
 
 func TestDelayAfterPause(t *testing.T) {
-	det := &health.PauseDetector{}
+	det := health.NewPauseDetector(now)
 	assert.Equal(t, det.Delay(now), time.Duration(0))
 	det.Tick(now)
 	det.Tick(now.Add(100 * time.Millisecond))
@@ -24,3 +24,13 @@
 	}
 	assert.Equal(t, det.Delay(resumed.Add(health.BacklogTime)), time.Duration(0))
 }
+
+// A process may be stopped right after its start, before it has ticked for the first
+// time.
+func TestDelayAfterPauseBeforeTheFirstTick(t *testing.T) {
+	det := health.NewPauseDetector(now)
+	resumed := now.Add(3 * time.Second)
+	assert.Equal(t, det.Delay(resumed), 3*time.Second)
+	det.Tick(resumed)
+	assert.Equal(t, det.Delay(resumed.Add(time.Millisecond)), 3*time.Second)
+}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -79,7 +79,7 @@
 func New(loc table.Locality, service string, upstream netip.AddrPort, lst *feed.Lists, scope *stats.Scope, log *zap.Logger) (*Agent, error) {
 	agt := &Agent{
 		locality: loc, service: service, lists: lst, drain: newDrainer(), open: &openCounts{},
-		meter: newMeter(scope), log: log, pauseDetector: &health.PauseDetector{}, usages: newUsages(), stopped: make(chan struct{}),
+		meter: newMeter(scope), log: log, pauseDetector: health.NewPauseDetector(time.Now()), usages: newUsages(), stopped: make(chan struct{}),
 	}
 	agt.keyring.Store(token.NewKeyring())
 	agt.maxFlows.Store(1)
