Let questions that follow each other share datagrams

Change: an agent gets the next datagram of questions 5 ms after the last one, or when it is full. Test: TestQueriesToOneAgentShareDatagrams.

--- a/core/track/query.go
+++ b/core/track/query.go
@@ -1,6 +1,7 @@
 package track
 
 import (
+	"slices"
 	"time"
 
 	"lagoondrum/core/encap"
@@ -13,6 +14,7 @@
 	queryShare       = 0.3                    // Share of the link that queries may use; the answers use as much of the other direction.
 	queryBurst       = 100 * time.Millisecond // Largest burst, as time at that rate.
 	ipUDPHeaderBytes = 28                     // IPv4 and UDP headers of a datagram.
+	queryPause       = 5 * time.Millisecond   // Between two datagrams to one agent, unless the second is full: while many flows are searched for they share datagrams, whose number is what costs processor time.
 )
 
 // queryQueue collects the queries to each agent and limits their rate with a token
@@ -25,6 +27,7 @@
 	creditAt   time.Time
 	byAgent    map[[4]byte]*agentQueries
 	agentOrder [][4]byte // Agents with queries, the next one first.
+	sentAt     map[[4]byte]time.Time
 }
 
 // agentQueries holds the queries that wait to be sent to one agent.
@@ -35,7 +38,7 @@
 }
 
 func newQueryQueue(linkBytes float64) queryQueue {
-	return queryQueue{rate: queryShare * linkBytes, byAgent: make(map[[4]byte]*agentQueries)}
+	return queryQueue{rate: queryShare * linkBytes, byAgent: make(map[[4]byte]*agentQueries), sentAt: make(map[[4]byte]time.Time)}
 }
 
 // add queues a query. A flow is queued once for each agent, with its newest
@@ -57,13 +60,18 @@
 // nextDatagram returns the next datagram of queries, or false if none waits or the
 // rate does not allow one yet. Agents take turns, one datagram each.
 func (que *queryQueue) nextDatagram(now time.Time) (ip [4]byte, hdr encap.Header, list []byte, ok bool) {
+	if len(que.agentOrder) == 0 && now.Sub(que.creditAt) >= queryPause {
+		clear(que.sentAt)
+	}
 	burst := que.rate * queryBurst.Seconds()
 	que.credit = min(que.credit+que.rate*now.Sub(que.creditAt).Seconds(), burst)
 	que.creditAt = now
-	if len(que.agentOrder) == 0 || que.credit <= 0 {
+	at := slices.IndexFunc(que.agentOrder, func(ip [4]byte) bool { return que.mayAsk(ip, now) })
+	if at < 0 || que.credit <= 0 {
 		return ip, hdr, nil, false
 	}
-	ip = que.agentOrder[0]
+	ip = que.agentOrder[at]
+	que.sentAt[ip] = now
 	aqs := que.byAgent[ip]
 	count := min(len(aqs.keys), encap.MaxQueries)
 	for _, key := range aqs.keys[:count] {
@@ -71,7 +79,7 @@
 		delete(aqs.acks, key)
 	}
 	aqs.keys = aqs.keys[count:]
-	que.agentOrder = que.agentOrder[1:]
+	que.agentOrder = slices.Delete(que.agentOrder, at, at+1)
 	if len(aqs.keys) > 0 {
 		que.agentOrder = append(que.agentOrder, ip)
 	} else {
@@ -82,6 +90,11 @@
 	return ip, encap.New(encap.Seek, aqs.agent.ServiceID(), flow.Key{}), list, true
 }
 
+// mayAsk reports whether a datagram of queries may go to an agent now.
+func (que *queryQueue) mayAsk(ip [4]byte, now time.Time) bool {
+	return now.Sub(que.sentAt[ip]) >= queryPause || len(que.byAgent[ip].keys) >= encap.MaxQueries
+}
+
 // SendQueries sends the queued queries as far as their rate limit allows. It is
 // called once for each batch of packets.
 func (tbl *Table) SendQueries(now time.Time) {
--- a/core/track/search_test.go
+++ b/core/track/search_test.go
@@ -8,6 +8,7 @@
 
 	"lagoondrum/core/encap"
 	"lagoondrum/core/fleet"
+	"lagoondrum/core/flow"
 	"lagoondrum/core/intent"
 )
 
@@ -206,3 +207,19 @@
 		assertResets(t, fix.TakeActions(), AllDenied)
 	})
 }
+
+// The load after a loss of all processes again: the questions about flows that are
+// sought at the same time share datagrams.
+func TestQueriesToOneAgentShareDatagrams(t *testing.T) {
+	fix := newFixture(1)
+	assert.Equal(t, len(sendActions(fix.sendData(1, start))), 1)
+	for num := 2; num < 10; num++ {
+		assert.Equal(t, len(sendActions(fix.sendData(num, start.Add(time.Millisecond)))), 0)
+	}
+	fix.SendQueries(start.Add(queryPause))
+	asked := sendActions(fix.TakeActions())
+	assert.Equal(t, len(asked), 1)
+	count := 0
+	encap.EachQuery(asked[0].Packet(), func(flow.Key, uint32) { count++ })
+	assert.Equal(t, count, 8)
+}
