Have a client at the agent that the wake test stops

TestWakeAfterDeadline failed once in 24 runs because no client happened to have its flow at the agent that it stops: flows go where balancers and agents place them. It now connects clients until one has. All checks stay as they are.

--- a/io/fault/planned_test.go
+++ b/io/fault/planned_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -285,16 +287,42 @@
 	assert.NilError(t, req.err)
 	usage := ""
 	for _, hst := range reg.scn.Agents() {
-		rsp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/v1/usage", hst.Admin))
-		assert.NilError(t, err)
-		raw, err := io.ReadAll(rsp.Body)
-		assert.NilError(t, err)
-		_ = rsp.Body.Close()
-		usage += string(raw)
+		usage += reg.usageAt(t, hst)
 	}
 	assert.Assert(t, strings.Contains(usage, `{"customer":"engraver","flows":1,"done":1,"notRun":0,"unknown":0}`), usage)
 }
 
+// usageAt returns what an agent's administration tells of its customers' usage.
+func (reg *region) usageAt(t *testing.T, hst stand.Host) string {
+	t.Helper()
+	rsp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/v1/usage", hst.Admin))
+	assert.NilError(t, err)
+	defer rsp.Body.Close()
+	raw, err := io.ReadAll(rsp.Body)
+	assert.NilError(t, err)
+	return string(raw)
+}
+
+// flowPattern matches the usage of a customer with an open flow.
+var flowPattern = regexp.MustCompile(`"flows":[1-9]`)
+
+// connectedTo connects clients until one of them has its flow at an agent: where flows
+// go is up to balancers and agents.
+func (reg *region) connectedTo(t *testing.T, prefix, agent string) []*caller.Client {
+	t.Helper()
+	hosts := reg.scn.Agents()
+	target := hosts[slices.IndexFunc(hosts, func(hst stand.Host) bool { return hst.Name == agent })]
+	var clients []*caller.Client
+	for try := range 10 {
+		clients = append(clients, reg.connected(t, fmt.Sprintf("%s %d", prefix, try))...)
+		if flowPattern.MatchString(reg.usageAt(t, target)) {
+			return clients
+		}
+	}
+	t.Fatalf("%d clients, and none has its flow at %s", len(clients), agent)
+	return nil
+}
+
 // TestTwoFaultsTogether injects pairs of the most costly faults of the matrix during
 // every activity but the last, the edit.
 func TestTwoFaultsTogether(t *testing.T) {
@@ -332,7 +360,7 @@
 // it after their deadlines. Requests that waited in its socket buffer must not run.
 func TestWakeAfterDeadline(t *testing.T) {
 	reg := newRegion(t, basePort+4000)
-	clients := reg.connected(t, "wake")
+	clients := reg.connectedTo(t, "wake", targetAgent)
 	reg.signal(targetAgent, syscall.SIGSTOP)
 	requests := make([]*request, len(clients))
 	var wg sync.WaitGroup
