--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,7 @@
 	"held-request": playHeldRequest,
 	"late-opening": playLateOpening,
 	"tries":        playTries,
+	"fraction":     playFraction,
 }
 
 func main() {
