Keep an open flow when a late copy of its opening comes

Cause: an agent that was restarted took a copy of an opening, which a balancer sent after a pause, for a new flow. The copy replaced what the agent knew of the open one, and as the flow's acknowledgements did not match, the agent denied it although its table was not complete; with the denials of all others the balancer had proof and reset the flow.

Evidence: the lines of a flow that was reset. Its agent writes "flow opened" 2.4 s after the opening and "flow absent" for the next request, both with complete false, and "reset allDenied" follows.

Change: until a restarted agent's table can be trusted, the record of an opening proves nothing about an older flow. The agent cannot tell, tries a packet, and takes a packet of the upstream as the sign that the flow is open. An opening whose first copy was not seen replaces no record, no packet on trial and no denial. That works because only the upstream's own reaction decides now, whichever copy came before.

Related paths: copies of the opening of an open flow were refused at a leaving upstream; a returned copy ended an open flow; a returned packet of another upstream's flow reset a half open one.

--- a/core/flows/balancer.go
+++ b/core/flows/balancer.go
@@ -38,7 +38,7 @@
 	case known && rec.matchesAck(ack):
 		rec.balancer = from
 		return encap.Held, rec.upstreamISN
-	case known, denied, tbl.down, tbl.authoritative(now):
+	case denied, tbl.down, tbl.authoritative(now):
 		return encap.Absent, tbl.denialSeq(key, now)
 	default:
 		return encap.Unsure, encap.UnsureSeq(tbl.served[key.Service()], now.Sub(tbl.startedAt))
@@ -51,6 +51,11 @@
 	rec := tbl.records[key]
 	known := rec != nil && rec.isOpenedBy(pkt)
 	if rsn := tbl.refusalReason(hdr, known && rec.accepted); rsn != encap.NoReason {
+		if rsn == encap.Leaving && known && rec.phase == open { // On a refusal the balancer would ask other agents to open the flow.
+			rec.balancer = from
+			tbl.notifyOpened(key, rec, now)
+			return
+		}
 		tbl.notify(from, encap.New(encap.Refused, hdr.Service(), key).WithReason(rsn), nil, now)
 		return
 	}
@@ -71,22 +76,26 @@
 		rec = &record{clientISN: pkt.Seq(), balancer: from, sentAt: sentAt, urgency: hdr.Urgency()}
 		tbl.noteActivity(rec, now)
 		tbl.records[key] = rec
-		delete(tbl.denied, key)
 		tbl.deliverOpening(key, rec, pkt, raw, now)
 		return
 	}
-	rec.balancer = from
 	tbl.noteActivity(rec, now)
 	tbl.cold.Count(now)
 	tbl.deliver(key, pkt, raw, now)
+	if rec.phase == trying {
+		return // The balancer that sent the packet on trial gets the answer.
+	}
+	rec.balancer = from
 	if rec.accepted {
 		tbl.notifyOpened(key, rec, now)
 	}
 }
 
 // isOpenedBy reports whether an opening packet is a copy of the one that began the flow.
+// If that one was not seen, the flow is older than the agent, and every opening is taken
+// for a late copy.
 func (rec *record) isOpenedBy(pkt flow.Packet) bool {
-	return rec.clientISN == pkt.Seq() && rec.phase != closed && rec.phase != trying
+	return rec.phase != closed && (rec.sentAt.IsZero() || rec.clientISN == pkt.Seq())
 }
 
 // refusalReason returns why a flow cannot be opened, NoReason if it can. accepted tells
@@ -124,17 +133,13 @@
 		tbl.notifyAbsent(key, hdr, raw, from, now)
 		return
 	}
-	if rec == nil {
+	if rec == nil || rec.phase == halfOpen && !pkt.Has(flow.Ack) || !rec.matchesAck(pkt.Ack()) {
 		tbl.handleUnknown(key, hdr, pkt, raw, from, now)
 		return
 	}
 	if rec.phase == trying && hdr.Kind() == encap.Try {
 		return // Another balancer's try is under way; a second packet would count against the flow too.
 	}
-	if rec.phase == halfOpen && !pkt.Has(flow.Ack) || !rec.matchesAck(pkt.Ack()) {
-		tbl.notifyAbsent(key, hdr, raw, from, now)
-		return
-	}
 	if rec.phase == halfOpen {
 		rec.phase = open
 	}
@@ -170,16 +175,18 @@
 	}
 }
 
-// handleUnknown handles a packet of a flow that is not in the table. Where the
-// table may lack flows from before a restart, the packet is delivered, and the
-// upstream's reaction shows whether it holds the flow. Only a packet that is meant
-// for this upstream is tried, since packets at a wrong upstream break flows too.
+// handleUnknown handles a packet of a flow that is not in the table, or whose opening
+// alone is. Where the table may lack flows from before a restart, that opening may have
+// been a late copy: the packet is delivered, and the upstream's reaction shows whether it
+// holds the flow. Only a packet that is meant for this upstream is tried, since packets
+// at a wrong upstream break flows too.
 func (tbl *Table) handleUnknown(key flow.Key, hdr encap.Header, pkt flow.Packet, raw []byte, from flow.Endpoint, now time.Time) {
 	_, denied := tbl.denied[key]
 	if denied || tbl.down || tbl.authoritative(now) {
 		tbl.notifyAbsent(key, hdr, raw, from, now)
 		return
 	}
+	tbl.remove(key, now)
 	rec := &record{phase: trying, balancer: from, trialOfData: hdr.Kind() == encap.Data, deadline: now.Add(trialTimeout)}
 	tbl.records[key] = rec
 	tbl.unanswered[key] = rec
--- a/core/flows/upstream.go
+++ b/core/flows/upstream.go
@@ -26,7 +26,7 @@
 	}
 	rec := tbl.records[key]
 	if rec == nil {
-		rec = &record{phase: open}
+		rec = &record{phase: open, accepted: true}
 		if pkt.Has(flow.Syn) {
 			rec.phase = halfOpen // The opening packet was delivered before the agent restarted.
 		}
@@ -49,6 +49,9 @@
 
 // handleOpenAnswer handles the upstream's answer to an opening packet.
 func (tbl *Table) handleOpenAnswer(key flow.Key, rec *record, pkt flow.Packet, now time.Time) {
+	if rec.phase == trying {
+		return // To a late copy of the opening; the packet on trial is still unanswered.
+	}
 	delete(tbl.unanswered, key)
 	if rec.silentReported && !rec.accepted {
 		tbl.window.NoteLateAnswer(now)
@@ -70,10 +73,12 @@
 
 // noteUpstreamPacket updates the record of a flow from a packet of the upstream.
 func (tbl *Table) noteUpstreamPacket(key flow.Key, rec *record, pkt flow.Packet, now time.Time) {
-	if rec.phase == trying {
-		delete(tbl.unanswered, key)
-		rec.phase = open
+	switch {
+	case rec.phase == trying:
+		tbl.markOpen(key, rec)
 		tbl.notify(rec.balancer, encap.New(encap.Held, tbl.service, key), nil, now)
+	case (rec.phase == opening || rec.phase == halfOpen) && !tbl.authoritative(now):
+		tbl.markOpen(key, rec) // Older than the agent, which has delivered a late copy of its opening.
 	}
 	if rec.phase == halfOpen && pkt.EndSeq()-rec.upstreamISN > rec.upstreamEnd-rec.upstreamISN {
 		rec.upstreamEnd = pkt.EndSeq()
@@ -90,6 +95,12 @@
 	}
 }
 
+// markOpen records that the upstream's own packets show that it holds a flow.
+func (tbl *Table) markOpen(key flow.Key, rec *record) {
+	delete(tbl.unanswered, key)
+	rec.phase, rec.accepted = open, true
+}
+
 func (tbl *Table) closeIfBothFin(rec *record, now time.Time) {
 	if rec.upstreamFin && rec.clientFin {
 		tbl.close(rec, now)
@@ -107,22 +118,16 @@
 func (tbl *Table) handleBounced(pkt flow.Packet, raw []byte, now time.Time) {
 	key := pkt.KeyFromClient()
 	rec := tbl.records[key]
-	if rec == nil {
-		return
+	if rec == nil || pkt.Opening() != (rec.phase == opening) {
+		return // A returned copy of an opening tells nothing of a flow that has been answered.
 	}
 	balancer := rec.balancer
 	switch rec.phase {
 	case opening:
-		if !pkt.Opening() {
-			return
-		}
 		tbl.remove(key, now)
 		tbl.notify(balancer, encap.New(encap.Refused, tbl.service, key).WithReason(encap.Bounced), nil, now)
 	case halfOpen:
-		if pkt.Opening() {
-			return // A retransmission: the upstream has answered an earlier copy.
-		}
-		tbl.endFlow(key, rec, pkt, now)
+		tbl.markTried(key, now) // Its client chose another upstream, which may hold the flow.
 	case trying:
 		tbl.remove(key, now)
 		tbl.markTried(key, now)
