Take fractions as seconds, and apply what can be used

Evidence: the processes write "settings refused" and end with 'graceSeconds is "6.5", not a whole number from 0 to 604800'.

Change: seconds are numbers. In place of a figure that cannot be used a process that starts has its default, and a running one keeps any value in force; the other values apply, and "unusable settings" names file, line and reason. Addresses and names without a usable value still end a start, and unknown names refuse a file, as no default would do or the file is not what was meant. So a figure can no longer decide whether a process runs.

--- a/core/mirror/policy.go
+++ b/core/mirror/policy.go
@@ -89,6 +89,9 @@
 	}
 }
 
+// SetMaxAge sets within which time a change at the platform has to take effect.
+func (pol *ReaderPolicy) SetMaxAge(maxAge time.Duration) { pol.maxAge = maxAge }
+
 // NoteCall records whether the platform answered a call of this process.
 func (pol *ReaderPolicy) NoteCall(answered bool, now time.Time) {
 	pol.platformReachable = answered
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -116,6 +116,9 @@
 // against that of others.
 func (tbl *Table) SetZonesWeighed(weighed bool) { tbl.chooser.SetZonesWeighed(weighed) }
 
+// SetLinkBytes sets the capacity of the balancer's link in bytes per second.
+func (tbl *Table) SetLinkBytes(linkBytes float64) { tbl.queries.rate = queryShare * linkBytes }
+
 // TakeActions returns the actions decided since the last call. They are valid
 // until the next event.
 func (tbl *Table) TakeActions() []Action {
--- a/io/carry/agent.go
+++ b/io/carry/agent.go
@@ -87,7 +87,7 @@
 		return err
 	}
 	bas.supervisor.Add(bas.replica)
-	bas.supervisor.Add(newSettingsWatcher(set.Path(), log, agt.applySettings))
+	bas.supervisor.Add(newSettingsWatcher(set, log, agt.applySettings))
 	bas.supervisor.Add(&upstreamReader{agt})
 	bas.supervisor.Add(&balancerReader{agt})
 	bas.supervisor.Add(&ticker{agt.tick, agt.wake})
@@ -106,11 +106,10 @@
 	return nil
 }
 
-// applySettings applies changed settings: the address of the platform, the seeds,
-// and the address and service of the upstream.
+// applySettings applies changed settings: the address and bounds of the platform, the
+// seeds, and the address and service of the upstream.
 func (agt *agent) applySettings(set *conf.Settings) {
-	agt.store.SetAddress(set.Platform())
-	agt.replica.SetSeeds(agt.seeds(set))
+	agt.applyPlatform(set)
 	agt.mu.Lock()
 	defer agt.mu.Unlock()
 	agt.settings = set
--- a/io/carry/balancer.go
+++ b/io/carry/balancer.go
@@ -88,7 +88,7 @@
 		return err
 	}
 	bas.supervisor.Add(bas.replica)
-	bas.supervisor.Add(newSettingsWatcher(set.Path(), log, blc.applySettings))
+	bas.supervisor.Add(newSettingsWatcher(set, log, blc.applySettings))
 	bas.supervisor.Add(&clientReader{blc})
 	bas.supervisor.Add(&peerReader{blc})
 	bas.supervisor.Add(&ticker{blc.tick, blc.wake})
@@ -96,7 +96,7 @@
 	done := bas.supervisor.ServeBackground(supCtx)
 	log.Info("started", zap.String("role", "balancer"), zap.Uint64("incarnation", bas.incarnation))
 	<-ctx.Done()
-	blc.leave(set.GraceDeadline(time.Now()).Add(-graceMargin))
+	blc.leave(time.Now())
 	cancel()
 	_ = blc.clients.Close()
 	_ = blc.peers.Close()
@@ -105,24 +105,26 @@
 	return nil
 }
 
-// applySettings applies changed settings: the address of the platform and the seeds.
+// applySettings applies changed settings: the address and bounds of the platform, the
+// seeds, the grace time and the bandwidth of the link.
 func (blc *balancer) applySettings(set *conf.Settings) {
-	blc.store.SetAddress(set.Platform())
-	blc.replica.SetSeeds(blc.seeds(set))
+	blc.applyPlatform(set)
 	blc.mu.Lock()
 	defer blc.mu.Unlock()
 	blc.settings = set
 	blc.fleet.SetColdBounds(warm.NewBounds(set.ColdAllowance()))
 	blc.table.SetZonesWeighed(weighsZones(set))
+	blc.table.SetLinkBytes(set.LinkBytes())
 }
 
 // leave reports the balancer as not ready and waits until the routers have stopped
-// sending, at most until the deadline. Packets are forwarded in the meantime.
-func (blc *balancer) leave(deadline time.Time) {
-	begun := time.Now()
+// sending, at most until shortly before it would be killed. Packets are forwarded in the
+// meantime.
+func (blc *balancer) leave(begun time.Time) {
 	blc.ready.Store(false)
 	blc.mu.Lock()
 	blc.leaving = true
+	deadline := blc.settings.GraceDeadline(begun).Add(-graceMargin)
 	blc.mu.Unlock()
 	blc.log.Info("leaving", zap.Time("deadline", deadline))
 	poll := time.NewTicker(busyTick)
--- a/io/carry/base.go
+++ b/io/carry/base.go
@@ -84,9 +84,17 @@
 	})
 	bas.replica = gossip.New(bas.store, platform.HistoryLost, self.Addr().As4(), balancer, set.FirstStart(), bas.seeds(set), set.MaxStateAge(), log)
 	bas.replica.SetClassify(platform.SubjectOf)
+	logUnusable(set, log)
 	return bas, nil
 }
 
+// applyPlatform applies changed settings of the platform.
+func (bas *base) applyPlatform(set *conf.Settings) {
+	bas.store.SetAddress(set.Platform())
+	bas.replica.SetSeeds(bas.seeds(set))
+	bas.replica.SetMaxAge(set.MaxStateAge())
+}
+
 // seeds returns the peer addresses of the seeds.
 func (bas *base) seeds(set *conf.Settings) []netip.AddrPort {
 	var all []netip.AddrPort
--- a/io/carry/reload.go
+++ b/io/carry/reload.go
@@ -19,14 +19,14 @@
 // settingsWatcher reloads the settings on SIGHUP or when the file has
 // changed.
 type settingsWatcher struct {
-	path    string
+	set     *conf.Settings // In force.
 	log     *zap.Logger
 	apply   func(set *conf.Settings)
 	sighups chan os.Signal
 }
 
-func newSettingsWatcher(path string, log *zap.Logger, apply func(*conf.Settings)) *settingsWatcher {
-	wtc := &settingsWatcher{path: path, log: log, apply: apply, sighups: make(chan os.Signal, 1)}
+func newSettingsWatcher(set *conf.Settings, log *zap.Logger, apply func(*conf.Settings)) *settingsWatcher {
+	wtc := &settingsWatcher{set: set, log: log, apply: apply, sighups: make(chan os.Signal, 1)}
 	signal.Notify(wtc.sighups, syscall.SIGHUP)
 	return wtc
 }
@@ -55,7 +55,7 @@
 // modTime returns when the file was last modified, the zero time if it cannot be
 // read.
 func (wtc *settingsWatcher) modTime() time.Time {
-	info, err := os.Stat(wtc.path)
+	info, err := os.Stat(wtc.set.Path())
 	if err != nil {
 		return time.Time{}
 	}
@@ -63,11 +63,20 @@
 }
 
 func (wtc *settingsWatcher) reload(reason string) {
-	set, err := conf.Load(wtc.path)
+	set, err := wtc.set.Reload()
 	if err != nil {
 		wtc.log.Error("settings refused, keeping the previous ones", zap.String("reason", reason), zap.Error(err))
 		return
 	}
+	logUnusable(set, wtc.log)
+	wtc.set = set
 	wtc.apply(set)
 	wtc.log.Info("settings reloaded", zap.String("reason", reason))
 }
+
+// logUnusable logs the values of the settings file in place of which others are in force.
+func logUnusable(set *conf.Settings, log *zap.Logger) {
+	if err := set.Unusable(); err != nil {
+		log.Error("unusable settings", zap.Error(err))
+	}
+}
--- a/io/conf/check.go
+++ b/io/conf/check.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -12,6 +13,7 @@
 	maxSeconds = 7 * 24 * 3600
 	minMillis  = 100
 	maxMillis  = 3_600_000
+	maxMbps    = 1_000_000
 )
 
 // acceptAny accepts every value.
@@ -26,7 +28,14 @@
 
 func checkPort(value string) string { return checkInt(value, 1, maxPort) }
 
-func checkSeconds(value string) string { return checkInt(value, 0, maxSeconds) }
+func checkSeconds(value string) string { return checkNumber(value, 0, maxSeconds) }
+
+func checkNumber(value string, low, high float64) string {
+	if num, err := strconv.ParseFloat(value, 64); err != nil || !(num >= low && num <= high) {
+		return fmt.Sprintf("not a number from %.0f to %.0f", low, high)
+	}
+	return ""
+}
 
 func checkInt(value string, low, high int) string {
 	num, err := strconv.Atoi(value)
@@ -102,16 +111,11 @@
 	return ""
 }
 
-func checkMillis(value string) string {
-	if num, err := strconv.ParseFloat(value, 64); err != nil || !(num >= minMillis && num <= maxMillis) {
-		return "not a number from " + strconv.Itoa(minMillis) + " to " + strconv.Itoa(maxMillis)
-	}
-	return ""
-}
+func checkMillis(value string) string { return checkNumber(value, minMillis, maxMillis) }
 
 func checkMbps(value string) string {
-	if mbps, err := strconv.ParseFloat(value, 64); err != nil || !(mbps > 0) {
-		return "not a number above 0"
+	if mbps, err := strconv.ParseFloat(value, 64); err != nil || !(mbps > 0 && mbps <= maxMbps) {
+		return "not a number above 0, at most " + strconv.Itoa(maxMbps)
 	}
 	return ""
 }
@@ -131,15 +135,10 @@
 }
 
 func checkOptionalMillis(value string) string {
-	if value == "0" {
+	if num, err := strconv.ParseFloat(value, 64); err == nil && num == 0 {
 		return ""
 	}
 	return checkMillis(value)
 }
 
-func checkNotNegative(value string) string {
-	if num, err := strconv.ParseFloat(value, 64); err != nil || !(num >= 0) || num > maxMillis {
-		return "not a number from 0 to " + strconv.Itoa(maxMillis)
-	}
-	return ""
-}
+func checkNotNegative(value string) string { return checkNumber(value, 0, maxMillis) }
--- a/io/conf/settings.go
+++ b/io/conf/settings.go
@@ -16,8 +16,9 @@
 
 // Settings holds the checked settings of one process. It is immutable.
 type Settings struct {
-	path   string
-	values map[string]string // By full name, for example entry.port.
+	path     string
+	values   map[string]string // By full name, for example entry.port.
+	unusable error             // The values of the file that are not in force.
 }
 
 // settingDecl declares one setting and its check.
@@ -47,7 +48,7 @@
 	{"platform", "applyMillis", "3000", "ms", "time within which a change of the desired state has to be in force in every process", checkMillis},
 	{"platform", "drainMillis", "3000", "ms", "time within which a draining upstream has to get no new flows", checkMillis},
 	{"platform", "evacuateMillis", "0", "ms", "time within which an evacuated availability zone has to get no new flows; 0: no bound is stated", checkOptionalMillis},
-	{"platform", "coldOverage", "0", "", "how many times its rate a cold upstream may get in a second; 0: no limit is stated", checkNotNegative},
+	{"platform", "coldOverage", "0", "times", "how many times its rate a cold upstream may get in a second; 0: no limit is stated", checkNotNegative},
 	{"platform", "coldSlack", "0", "openings", "how many openings more a cold upstream may get in a second", checkNotNegative},
 	{"platform", "contracts", "", "name,...", "parts of the platform's terms in force; they decide what is switched on by auto", acceptAny},
 	{"serving", "judgeUpstreams", "auto", "", "judge upstreams by what callers get from them: on, off or auto", checkSwitch},
@@ -83,17 +84,35 @@
 	return set
 }
 
-// Load reads a settings file, or returns the defaults when path is empty. The error
-// is a *inidoc.Faults or an *os.PathError.
+// Load reads the settings file of a process that starts, or returns the defaults when
+// path is empty. A figure that cannot be used has its default, see Unusable; for an
+// address or a name there is no default that would do. The error is a *inidoc.Faults
+// or an *os.PathError.
 func Load(path string) (*Settings, error) {
 	if path == "" {
 		return Default(), nil
 	}
+	return load(path, Default(), settingDecl.isFigure)
+}
+
+// Reload reads the settings file again. A value that cannot be used keeps the one in
+// force, see Unusable. The errors are those of Load.
+func (set *Settings) Reload() (*Settings, error) {
+	return load(set.path, set, func(settingDecl) bool { return true })
+}
+
+// Unusable returns the values of the file that cannot be used, in place of which others
+// are in force, as a *inidoc.Faults, or nil when there are none.
+func (set *Settings) Unusable() error { return set.unusable }
+
+// load reads a settings file. In place of a value that cannot be used, that of fallback
+// is taken if the setting is replaceable.
+func load(path string, fallback *Settings, replaceable func(settingDecl) bool) (*Settings, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	set, err := Parse(path, raw)
+	set, err := parse(path, raw, fallback, replaceable)
 	if err != nil {
 		return nil, err
 	}
@@ -101,44 +120,72 @@
 	return set, nil
 }
 
-// Parse reads settings from the content of a file. The error is a *inidoc.Faults.
+// Parse reads settings from the content of a file, and refuses it for any fault. The
+// error is a *inidoc.Faults.
 func Parse(file string, raw []byte) (*Settings, error) {
+	return parse(file, raw, Default(), func(settingDecl) bool { return false })
+}
+
+func parse(file string, raw []byte, fallback *Settings, replaceable func(settingDecl) bool) (*Settings, error) {
 	doc, err := inidoc.Parse(file, raw, false)
 	if doc == nil {
 		return nil, err
 	}
-	set := Default()
-	fs := inidoc.NewFaults(file)
-	fs.Join(err)
+	rdr := reader{set: Default(), fallback: fallback, replaceable: replaceable, faults: inidoc.NewFaults(file), unusable: inidoc.NewFaults(file)}
+	rdr.faults.Join(err)
 	for _, sec := range doc.Sections() {
-		set.readSection(sec, fs)
+		rdr.readSection(sec)
 	}
-	set.checkAdmin(fs)
-	if err := fs.Err(); err != nil {
+	rdr.set.checkAdmin(rdr.faults)
+	if err := rdr.faults.Err(); err != nil {
 		return nil, err
 	}
-	return set, nil
+	rdr.set.unusable = rdr.unusable.Err()
+	return rdr.set, nil
+}
+
+// reader reads the settings of one document.
+type reader struct {
+	set         *Settings
+	fallback    *Settings
+	replaceable func(settingDecl) bool
+	faults      *inidoc.Faults // For which the document is refused.
+	unusable    *inidoc.Faults // In place of these values those of fallback are in force.
 }
 
 // readSection reads the settings of one section and reports its faults.
-func (set *Settings) readSection(sec *inidoc.Section, fs *inidoc.Faults) {
+func (rdr *reader) readSection(sec *inidoc.Section) {
 	if !hasSection(sec.Title()) {
-		fs.Add(sec.Line(), fmt.Sprintf("unknown section [%s]", sec.Title()))
+		rdr.faults.Add(sec.Line(), fmt.Sprintf("unknown section [%s]", sec.Title()))
 		return
 	}
 	for _, key := range sec.Keys() {
 		dec, ok := findDecl(sec.Title(), key.Name())
 		if !ok {
-			fs.Add(key.Line(), fmt.Sprintf("unknown setting %s in [%s]", key.Name(), sec.Title()))
+			rdr.faults.Add(key.Line(), fmt.Sprintf("unknown setting %s in [%s]", key.Name(), sec.Title()))
 			continue
 		}
-		if reason := dec.check(key.Value()); reason != "" {
-			fs.Add(key.Line(), fmt.Sprintf("%s is %q, %s", key.Name(), key.Value(), reason))
-		}
-		set.values[dec.fullName()] = key.Value()
+		rdr.readSetting(dec, key)
 	}
 }
 
+// readSetting reads and checks one setting.
+func (rdr *reader) readSetting(dec settingDecl, key inidoc.Key) {
+	reason := dec.check(key.Value())
+	if reason == "" {
+		rdr.set.values[dec.fullName()] = key.Value()
+		return
+	}
+	reason = fmt.Sprintf("%s is %q, %s", key.Name(), key.Value(), reason)
+	if !rdr.replaceable(dec) {
+		rdr.faults.Add(key.Line(), reason)
+		return
+	}
+	inForce := rdr.fallback.get(dec.fullName())
+	rdr.set.values[dec.fullName()] = inForce
+	rdr.unusable.Add(key.Line(), fmt.Sprintf("%s; %q is in force", reason, inForce))
+}
+
 // checkAdmin reports a fault when the administration API listens outside the
 // loopback network without a certificate, a key and tokens.
 func (set *Settings) checkAdmin(fs *inidoc.Faults) {
@@ -169,6 +216,17 @@
 	return settingDecl{}, false
 }
 
+// isFigure reports whether the setting is a number with a default that serves any
+// deployment. A port is an address.
+func (dec settingDecl) isFigure() bool {
+	switch dec.unit {
+	case "ms", "s", "times", "openings", "Mbit/s":
+		return true
+	default:
+		return false
+	}
+}
+
 // fullName returns the key of the setting in Settings.values.
 func (dec settingDecl) fullName() string { return dec.section + "." + dec.name }
 
@@ -185,7 +243,7 @@
 func (set *Settings) get(key string) string { return set.values[key] }
 
 func (set *Settings) addrPort(key string) netip.AddrPort {
-	ap, _ := netip.ParseAddrPort(set.get(key)) // Checked by readSection.
+	ap, _ := netip.ParseAddrPort(set.get(key)) // Checked by parse.
 	return ap
 }
 
@@ -240,7 +298,7 @@
 
 // LinkBytes returns the bandwidth of the VM's link in bytes per second.
 func (set *Settings) LinkBytes() float64 {
-	mbps, _ := strconv.ParseFloat(set.get("packets.linkMbps"), 64) // Checked by readSection.
+	mbps, _ := strconv.ParseFloat(set.get("packets.linkMbps"), 64) // Checked by parse.
 	return mbps * 1e6 / 8
 }
 
@@ -265,7 +323,7 @@
 // ColdAllowance returns how many times its rate, and how many openings besides, a cold
 // upstream may get in a second; zeros when no limit is stated.
 func (set *Settings) ColdAllowance() (overage, slack float64) {
-	overage, _ = strconv.ParseFloat(set.get("platform.coldOverage"), 64) // Checked by readSection.
+	overage, _ = strconv.ParseFloat(set.get("platform.coldOverage"), 64) // Checked by parse.
 	slack, _ = strconv.ParseFloat(set.get("platform.coldSlack"), 64)
 	return overage, slack
 }
@@ -341,12 +399,12 @@
 }
 
 func (set *Settings) seconds(key string) time.Duration {
-	secs, _ := strconv.Atoi(set.get(key)) // Checked by readSection.
-	return time.Duration(secs) * time.Second
+	secs, _ := strconv.ParseFloat(set.get(key), 64) // Checked by parse.
+	return time.Duration(secs * float64(time.Second))
 }
 
 func (set *Settings) millis(key string) time.Duration {
-	num, _ := strconv.ParseFloat(set.get(key), 64) // Checked by readSection.
+	num, _ := strconv.ParseFloat(set.get(key), 64) // Checked by parse.
 	return time.Duration(num * float64(time.Millisecond))
 }
 
--- a/io/gossip/replica.go
+++ b/io/gossip/replica.go
@@ -111,6 +111,13 @@
 	rep.policy.SetSeeds(ipsOf(seeds))
 }
 
+// SetMaxAge changes within which time a change at the platform has to take effect.
+func (rep *Replica) SetMaxAge(maxAge time.Duration) {
+	rep.mu.Lock()
+	defer rep.mu.Unlock()
+	rep.policy.SetMaxAge(maxAge)
+}
+
 func ipsOf(addrs []netip.AddrPort) [][4]byte {
 	var ips [][4]byte
 	for _, addr := range addrs {
