Limit tries for as long as nobody knows a flow's holder

Cause: the limit on tries was a rate, two in 2.2 s; the rule counts three packets over the whole time in which none reaches the owner. And it applied where nothing could have been missed: each full read, and each answer of a peer with a later history, counted as a gap in the history of routes, also with the same desired state.

The "desired state" lines tell historyComplete false at all processes.

Change: all balancers together try two upstreams while nobody knows the holder. Agents tell since when they have been asked for a flow, in bits of their answers that were unused, so later balancers count earlier tries; a search that gave up is continued. Where the holder must be among the unsure agents all are tried, within 1.5 s of the first try, and after it only the last one left. A history has a gap only if the revision of the desired state changed; then peers are asked again. That works because the count now starts when the flow was last held, not at a point in time.

Related ways to a try: the free tries after the loss of all processes also began in a rollout, after a gap or while a peer's answer was late; now every agent has to be young, too.

--- a/core/encap/header_test.go
+++ b/core/encap/header_test.go
@@ -40,6 +40,37 @@
 	assert.DeepEqual(t, kinds, []Kind{Held}) // Open is no verdict and is ignored.
 }
 
+func TestTimesOfVerdicts(t *testing.T) {
+	const day = 24 * time.Hour
+	for name, tc := range map[string]struct {
+		kind          Kind
+		seq           uint32
+		asked, uptime time.Duration
+		tried         time.Duration
+		wasTried      bool
+	}{
+		"unsure":                  {Unsure, UnsureSeq(true, 9*time.Second, 70*time.Millisecond), 70 * time.Millisecond, 9 * time.Second, 0, false},
+		"unsure for long":         {Unsure, UnsureSeq(false, day, day), 32767 * time.Millisecond, 65535 * time.Millisecond, 0, false},
+		"absent":                  {Absent, AbsentSeq(4 * time.Second), 4 * time.Second, 0, 0, false},
+		"absent, tried just now":  {Absent, TriedSeq(0, time.Second), time.Second, 0, 0, true},
+		"absent, tried long ago":  {Absent, TriedSeq(day, day), 32767 * time.Millisecond, 0, 65534 * time.Millisecond, true},
+		"absent, of a wrong time": {Absent, TriedSeq(-time.Second, -time.Second), 0, 0, 0, true},
+		"neither":                 {Held, 1 << 31, 0, 0, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			hdr := New(tc.kind, 7, key).WithSeq(tc.seq)
+			tried, wasTried := hdr.Tried()
+			assert.Equal(t, hdr.Asked(), tc.asked)
+			assert.Equal(t, wasTried, tc.wasTried)
+			assert.Equal(t, tried, tc.tried)
+			if tc.kind == Unsure {
+				assert.Equal(t, hdr.Uptime(), tc.uptime)
+				assert.Equal(t, hdr.ServesAddress(), name == "unsure")
+			}
+		})
+	}
+}
+
 func TestLoadIsClamped(t *testing.T) {
 	assert.Equal(t, NewLoad(-1, 1<<20).Flows(), 1<<16-1)
 	assert.Equal(t, NewLoad(-1, 0).Requests(), 0.0)
--- a/core/encap/list.go
+++ b/core/encap/list.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"math"
 	"time"
 
 	"lagoondrum/core/flow"
@@ -16,11 +15,26 @@
 	MaxQueries   = 64 // The verdicts on so many take 1,100 bytes with the header, which no link fragments.
 )
 
+// The fields of the sequence number of an Unsure or Absent verdict hold times in
+// milliseconds. Longer ones are told as the largest value.
+const (
+	uptimeBits = 16
+	triedBits  = 16
+	maxUptime  = 1<<uptimeBits - 1
+	maxTried   = 1<<triedBits - 2 // One more stands for it, as 0 means that no packet was tried.
+	maxAsked   = 1<<15 - 1
+)
+
+func limitMillis(span time.Duration, limit int64) uint32 {
+	return uint32(min(max(span.Milliseconds(), 0), limit))
+}
+
 // UnsureSeq returns the sequence number of an Unsure verdict. It tells whether the
-// agent's upstream serves other flows of the same address, and for how long the agent
-// has been running: it does not know what its predecessor did.
-func UnsureSeq(servesAddress bool, uptime time.Duration) uint32 {
-	seq := uint32(min(max(uptime.Milliseconds(), 0), math.MaxUint32>>1)) << 1
+// agent's upstream serves other flows of the same address, for how long the agent
+// has been running, as it does not know what its predecessor did, and how long ago a
+// balancer first asked for the flow; see Asked.
+func UnsureSeq(servesAddress bool, uptime, asked time.Duration) uint32 {
+	seq := limitMillis(asked, maxAsked)<<(1+uptimeBits) | limitMillis(uptime, maxUptime)<<1
 	if servesAddress {
 		seq |= 1
 	}
@@ -32,21 +46,41 @@
 func (hdr Header) ServesAddress() bool { return hdr.kind == Unsure && hdr.seq&1 != 0 }
 
 // Uptime returns for how long the agent of an Unsure verdict has been running.
-func (hdr Header) Uptime() time.Duration { return time.Duration(hdr.seq>>1) * time.Millisecond }
+func (hdr Header) Uptime() time.Duration {
+	return time.Duration(hdr.seq>>1&maxUptime) * time.Millisecond
+}
+
+// AbsentSeq returns the sequence number of an Absent verdict. It tells how long ago a
+// balancer first asked for the flow; see Asked.
+func AbsentSeq(asked time.Duration) uint32 { return limitMillis(asked, maxAsked) << triedBits }
 
-// TriedSeq returns the sequence number of an Absent verdict whose agent passed a packet
-// of the flow to its upstream so long ago, and got it back.
-func TriedSeq(age time.Duration) uint32 {
-	return uint32(min(max(age.Milliseconds(), 0), math.MaxUint32-1)) + 1
+// TriedSeq returns the sequence number of an Absent verdict whose agent, besides, passed
+// a packet of the flow to its upstream so long ago, and got it back.
+func TriedSeq(tried, asked time.Duration) uint32 {
+	return AbsentSeq(asked) | (limitMillis(tried, maxTried) + 1)
 }
 
 // Tried returns how long ago the agent of an Absent verdict passed a packet of the
 // flow to its upstream, and false if it did not lately.
 func (hdr Header) Tried() (age time.Duration, ok bool) {
-	if hdr.kind != Absent || hdr.seq == 0 {
+	tried := hdr.seq & (1<<triedBits - 1)
+	if hdr.kind != Absent || tried == 0 {
 		return 0, false
 	}
-	return time.Duration(hdr.seq-1) * time.Millisecond, true
+	return time.Duration(tried-1) * time.Millisecond, true
+}
+
+// Asked returns how long ago a balancer first asked the agent of an Unsure or Absent
+// verdict for the flow, since when they have gone on asking.
+func (hdr Header) Asked() time.Duration {
+	switch hdr.kind {
+	case Unsure:
+		return time.Duration(hdr.seq>>(1+uptimeBits)) * time.Millisecond
+	case Absent:
+		return time.Duration(hdr.seq>>triedBits) * time.Millisecond
+	default:
+		return 0
+	}
 }
 
 // AppendQuery appends to a list the query whether the agent holds a flow. ack
@@ -66,8 +100,8 @@
 }
 
 // AppendVerdict appends to a list the answer to a query: Held, Absent or Unsure.
-// For Held, seq is the upstream's first sequence number; see also TriedSeq and
-// UnsureSeq.
+// For Held, seq is the upstream's first sequence number; see also AbsentSeq, TriedSeq
+// and UnsureSeq.
 func AppendVerdict(list []byte, key flow.Key, knd Kind, seq uint32) []byte {
 	var buf [verdictBytes]byte
 	key.Put(buf[:])
@@ -82,7 +116,9 @@
 	for ; len(list) >= verdictBytes; list = list[verdictBytes:] {
 		knd := Kind(list[flow.KeyBytes])
 		if knd == Held || knd == Absent || knd == Unsure {
-			visit(New(knd, hdr.service, flow.ParseKey(list)).WithRevision(hdr.revision).WithSeq(binary.BigEndian.Uint32(list[flow.KeyBytes+1:])))
+			one := New(knd, hdr.service, flow.ParseKey(list)).WithRevision(hdr.revision).WithSeq(binary.BigEndian.Uint32(list[flow.KeyBytes+1:]))
+			one.flags = hdr.flags & flagUpstreamDown
+			visit(one)
 		}
 	}
 }
--- a/core/flows/balancer.go
+++ b/core/flows/balancer.go
@@ -41,7 +41,7 @@
 	case denied, tbl.down, tbl.authoritative(now):
 		return encap.Absent, tbl.denialSeq(key, now)
 	default:
-		return encap.Unsure, encap.UnsureSeq(tbl.served[key.Service()], now.Sub(tbl.startedAt))
+		return encap.Unsure, encap.UnsureSeq(tbl.served[key.Service()], now.Sub(tbl.startedAt), tbl.noteAsked(key, now))
 	}
 }
 
@@ -186,6 +186,7 @@
 		tbl.notifyAbsent(key, hdr, raw, from, now)
 		return
 	}
+	tbl.noteAsked(key, now)
 	tbl.remove(key, now)
 	rec := &record{phase: trying, balancer: from, trialOfData: hdr.Kind() == encap.Data, deadline: now.Add(trialTimeout)}
 	tbl.records[key] = rec
--- a/core/flows/table.go
+++ b/core/flows/table.go
@@ -21,6 +21,7 @@
 	openTimeout      = 45 * time.Millisecond  // For the upstream to answer an opening packet; its handshake takes under 1 ms, the rest is queueing.
 	trialTimeout     = 250 * time.Millisecond // For the upstream to answer or return a packet of an unknown flow; clients retransmit after 200 ms.
 	deniedRetention  = 10 * time.Second       // After the upstream has returned a packet, its flow is denied for this long.
+	askedRetention   = 4 * time.Second        // Balancers that search for a flow ask again sooner than this, also if two retransmissions are lost.
 	closedRetention  = 5 * time.Second        // A closed flow is kept this long for retransmissions of its last packets, which end after 3.2 s.
 	stallTimeout     = 2 * time.Second        // A request without a packet in either direction for this long no longer counts as running: its client has left, or the upstream has lost it.
 	sweepInterval    = time.Second            // Between two removals of expired flows.
@@ -28,6 +29,7 @@
 	dataProbeDelay   = 300 * time.Millisecond // The same for data, whose acknowledgement may be delayed until the next packet or the response.
 	probeInterval    = 250 * time.Millisecond // Between two probes, each a connection attempt of a few packets.
 	maxDenied        = 8192                   // Denied flows that are kept; they take 0.5 MB.
+	maxAsked         = 8192                   // The same of flows that balancers ask for.
 	maxServed        = 4096                   // Addresses that are remembered as served: more than a platform has routes.
 	maxResetsPerTick = 200                    // Resets sent in one tick after the upstream has ended.
 )
@@ -78,6 +80,12 @@
 	triedAt time.Time // When the upstream returned a packet on trial; zero if there was none.
 }
 
+// inquiry is how long balancers have been asking for a flow that the agent does not know.
+type inquiry struct {
+	firstAt time.Time
+	lastAt  time.Time
+}
+
 // Table is the table of all flows of one upstream.
 type Table struct {
 	service     uint64
@@ -86,6 +94,7 @@
 	complete    bool // The table lacks no flow, for example because the whole system started with it.
 	records     map[flow.Key]*record
 	denied      map[flow.Key]denial
+	asked       map[flow.Key]inquiry
 	served      map[flow.Endpoint]bool // Addresses on which the upstream has sent packets of flows.
 	unanswered  map[flow.Key]*record   // Flows in the phases opening and trying.
 	ended       []flow.Key             // Flows that are still to be reset after the upstream has ended.
@@ -114,6 +123,7 @@
 		complete:    complete,
 		records:     make(map[flow.Key]*record),
 		denied:      make(map[flow.Key]denial),
+		asked:       make(map[flow.Key]inquiry),
 		served:      make(map[flow.Endpoint]bool),
 		unanswered:  make(map[flow.Key]*record),
 		admission:   admission{reserved: make(map[flow.Key]time.Time), announced: make(map[flow.Key]time.Time), requestDelay: maxReserveTime / reserveFactor},
@@ -239,10 +249,26 @@
 
 // denialSeq returns the sequence number of the denial of a flow.
 func (tbl *Table) denialSeq(key flow.Key, now time.Time) uint32 {
+	asked := tbl.noteAsked(key, now)
 	if triedAt := tbl.denied[key].triedAt; !triedAt.IsZero() {
-		return encap.TriedSeq(now.Sub(triedAt))
+		return encap.TriedSeq(now.Sub(triedAt), asked)
+	}
+	return encap.AbsentSeq(asked)
+}
+
+// noteAsked records that a balancer asks for a flow, and returns how long ago the first
+// one did since when they have gone on asking. Balancers that join the search later learn
+// from it that others may have tried the flow.
+func (tbl *Table) noteAsked(key flow.Key, now time.Time) time.Duration {
+	inq, known := tbl.asked[key]
+	if !known || now.Sub(inq.lastAt) >= askedRetention {
+		inq.firstAt = now
+	}
+	inq.lastAt = now
+	if known || len(tbl.asked) < maxAsked {
+		tbl.asked[key] = inq
 	}
-	return 0
+	return now.Sub(inq.firstAt)
 }
 
 // noteServed records that the upstream serves flows of an address.
--- a/core/flows/tick.go
+++ b/core/flows/tick.go
@@ -133,8 +133,8 @@
 	tbl.ended = tbl.ended[count:]
 }
 
-// removeExpired removes idle flows and outdated denials, and stops counting stalled
-// requests.
+// removeExpired removes idle flows, outdated denials and inquiries, and stops counting
+// stalled requests.
 func (tbl *Table) removeExpired(now time.Time) {
 	for key, rec := range tbl.records {
 		if !now.Before(rec.expiresAt) {
@@ -148,6 +148,11 @@
 			delete(tbl.denied, key)
 		}
 	}
+	for key, inq := range tbl.asked {
+		if now.Sub(inq.lastAt) >= askedRetention {
+			delete(tbl.asked, key)
+		}
+	}
 }
 
 // NeedsTick reports whether ticks are needed at short intervals, because
--- a/core/model/packets_endpoints_test.go
+++ b/core/model/packets_endpoints_test.go
@@ -55,16 +55,23 @@
 }
 
 // checkMisrouting records a packet that reached the upstream of a VM. It fails
-// the test if at least 3 packets of an open flow reach other upstreams within
-// misrouteTimeout while none reaches the owner.
+// the test if at least 3 packets of an open flow reach other upstreams while none reaches
+// the owner: within misrouteTimeout, or over a longer time while nothing is disturbed.
 func (sim *simulation) checkMisrouting(idx int, flw *simFlow) {
 	if flw.vm < 0 || !sim.heldByOwner(flw) {
 		return
 	}
 	if idx == flw.vm {
 		flw.ownerReachedAt = sim.now
+		flw.misroutedAt = nil
 		return
 	}
+	if sim.undisturbed(flw) {
+		flw.misroutedAt = append(flw.misroutedAt, sim.now)
+		if span := sim.now.Sub(flw.misroutedAt[0]); len(flw.misroutedAt) >= 3 && span >= misrouteTimeout {
+			sim.t.Fatalf("FLOW: for %s %d packets of %s reached other upstreams and none reached its owner", span, len(flw.misroutedAt), flw.key)
+		}
+	}
 	flw.misrouted++
 	if flw.checkScheduled {
 		return
--- a/core/model/packets_sim_test.go
+++ b/core/model/packets_sim_test.go
@@ -99,12 +99,13 @@
 	answers        int
 	requests       int
 	requestedAt    time.Time
-	openedAt       time.Time // When its client first asked to open it.
-	misrouted      int       // Number of packets that reached other upstreams.
-	checkScheduled bool      // A check of misrouted packets is pending.
-	ownerReachedAt time.Time // When a packet last reached the owning upstream.
-	lastPacketAt   time.Time // When its upstream last accepted a packet.
-	routeDropped   bool      // Its address had no route at some time.
+	openedAt       time.Time   // When its client first asked to open it.
+	misrouted      int         // Number of packets that reached other upstreams.
+	misroutedAt    []time.Time // When such packets came without a disturbance, since one reached the owner.
+	checkScheduled bool        // A check of misrouted packets is pending.
+	ownerReachedAt time.Time   // When a packet last reached the owning upstream.
+	lastPacketAt   time.Time   // When its upstream last accepted a packet.
+	routeDropped   bool        // Its address had no route at some time.
 }
 
 // simulation runs the system in virtual time as a sequence of events.
--- a/core/track/explain.go
+++ b/core/track/explain.go
@@ -10,7 +10,7 @@
 	"lagoondrum/core/picker"
 )
 
-var phaseNames = [...]string{opening: "opening", open: "open", searching: "searching", ended: "ended"}
+var phaseNames = [...]string{opening: "opening", open: "open", searching: "searching", unfound: "unfound", ended: "ended"}
 
 // Explanation is where the opening of a flow would go now, and why.
 type Explanation struct {
@@ -62,7 +62,7 @@
 	agents [][4]byte
 }
 
-// Phase returns the state of the flow: opening, open, searching or ended.
+// Phase returns the state of the flow: opening, open, searching, unfound or ended.
 func (hnt Hint) Phase() string { return phaseNames[hnt.phase] }
 
 // Agents returns the agents that the flow's packets go to: its holder, or while the flow
--- a/core/track/opening.go
+++ b/core/track/opening.go
@@ -173,7 +173,7 @@
 		return
 	}
 	delete(tbl.pending, key)
-	ent.phase = open
+	ent.phase, ent.heldAt = open, now
 	for i := range ent.holders {
 		if ent.holders[i].ip == from {
 			ent.holders[i].firstSeq = hdr.Seq()
--- a/core/track/search.go
+++ b/core/track/search.go
@@ -38,7 +38,7 @@
 	case encap.Refused:
 		tbl.handleRefused(key, ent, hdr, from, now)
 	case encap.Held:
-		tbl.handleHeld(key, ent, hdr, from)
+		tbl.handleHeld(key, ent, hdr, from, now)
 	case encap.Absent:
 		tbl.handleAbsent(key, ent, hdr, raw, from, now)
 	case encap.Unsure:
@@ -71,13 +71,16 @@
 	rounds      int
 	allServices bool      // The agents of every service are queried.
 	startedAt   time.Time // When the packet arrived that started the search.
+	firstAt     time.Time // When this balancer began to search, also if searches have given up since.
+	unknownAt   time.Time // When balancers began to search, as far as agents tell.
 	tryPhase    bool      // The queries of the round are answered or timed out, and tries are under way.
 	denied      [][4]byte // Agents that answered that they do not hold the flow.
 	unsure      [][4]byte // Agents that cannot tell and are still to try the packet.
 	lostTries   [][4]byte // Agents that did not answer a try; each gets one more.
 	tryingAgent [4]byte   // The agent that has been sent the packet and has not answered; zero if none.
 	tryCount    int       // Tries sent in this search.
-	tried       []trial   // Tries of this balancer, and those that others have or may have sent.
+	tried       []trial   // Tries of this balancer and of others, and those that a former agent may have got.
+	olderAgent  bool      // An agent is older than processes are that started after the loss of all.
 	giveUpAt    time.Time
 }
 
@@ -85,10 +88,14 @@
 // flow's packets until the answer, because sending them to every candidate would
 // take many times the bytes of the queries.
 func (tbl *Table) startSearch(key flow.Key, ent *entry, raw []byte, cse Cause, now time.Time) {
+	next := search{startedAt: now, firstAt: now, unknownAt: now, giveUpAt: now.Add(searchTimeout)}
+	if ent.phase == unfound && now.Before(ent.search.giveUpAt.Add(searchRetention)) {
+		next.firstAt, next.unknownAt, next.tried = ent.search.firstAt, ent.search.unknownAt, ent.search.tried
+	}
+	ent.search = next
 	ent.phase = searching
 	ent.holders = nil
 	ent.heldPackets = nil
-	ent.search = search{startedAt: now, giveUpAt: now.Add(searchTimeout)}
 	ent.holdPacket(raw)
 	tbl.pending[key] = ent
 	tbl.notice(key, cse, [4]byte{})
@@ -150,7 +157,8 @@
 		tbl.endWithReset(key, ent, NoUpstream, now)
 	case !now.Before(ent.search.giveUpAt):
 		tbl.notice(key, NotFound, [4]byte{})
-		tbl.remove(key)
+		delete(tbl.pending, key)
+		ent.phase, ent.heldPackets = unfound, nil
 	case tbl.tryNext(key, ent, now):
 	default:
 		tbl.queryAgents(key, ent, agts, now)
@@ -170,7 +178,9 @@
 		return
 	}
 	sch.unsure = append(sch.unsure, from)
-	sch.noteTrial(from, now.Add(-hdr.Uptime())) // The agent's predecessor may have tried the flow until then.
+	sch.noteAsked(hdr, ent.heldAt, now)
+	sch.noteStart(from, now.Add(-hdr.Uptime()))
+	sch.olderAgent = sch.olderAgent || hdr.Uptime() > startupTime+startupSpread
 	tbl.continueSearch(key, ent, now)
 }
 
@@ -222,13 +232,13 @@
 
 // handleHeld handles an agent's answer that it holds a flow that is being searched
 // for: the held packets are sent to it.
-func (tbl *Table) handleHeld(key flow.Key, ent *entry, hdr encap.Header, from [4]byte) {
-	if ent.phase != searching {
+func (tbl *Table) handleHeld(key flow.Key, ent *entry, hdr encap.Header, from [4]byte, now time.Time) {
+	if ent.phase != searching && ent.phase != unfound {
 		return
 	}
-	tried := ent.search.tryingAgent == from
+	tried := ent.phase == searching && ent.search.tryingAgent == from
 	delete(tbl.pending, key)
-	ent.phase = open
+	ent.phase, ent.heldAt = open, now
 	ent.serviceID = hdr.Service()
 	ent.holders = append(ent.holders[:0], holder{ip: from, firstSeq: hdr.Seq()})
 	tbl.notice(key, Found, from)
@@ -252,9 +262,9 @@
 		}
 		tbl.startSearch(key, ent, raw, HintWrong, now)
 		ent.search.denied = append(ent.search.denied, from)
-		ent.search.noteDenial(hdr, from, now)
+		ent.search.noteDenial(hdr, from, ent.heldAt, now)
 	case searching:
-		ent.search.noteDenial(hdr, from, now)
+		ent.search.noteDenial(hdr, from, ent.heldAt, now)
 		if !slices.Contains(ent.search.denied, from) {
 			ent.search.denied = append(ent.search.denied, from)
 		}
--- a/core/track/search_test.go
+++ b/core/track/search_test.go
@@ -94,7 +94,7 @@
 	fix := newFixtureAfterMove(start)
 	fix.sendData(1, start)
 	fix.deny(start, 2)
-	unsure := encap.New(encap.Unsure, feedID, flowKey(1)).WithSeq(encap.UnsureSeq(true, time.Minute))
+	unsure := encap.New(encap.Unsure, feedID, flowKey(1)).WithSeq(encap.UnsureSeq(true, time.Minute, 0))
 	tried := sendActions(fix.receive(unsure, vmIP(1), start))
 	assert.Equal(t, len(tried), 1)
 	assert.Equal(t, tried[0].Agent(), vmIP(1))
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -20,6 +20,7 @@
 const (
 	searchInterval     = 100 * time.Millisecond // Initial interval between two rounds of queries about a flow.
 	searchTimeout      = 2500 * time.Millisecond
+	searchRetention    = 4 * time.Second         // A packet within this time after a search gave up continues it; clients retransmit sooner, also if two packets are lost.
 	endedRetention     = 5 * time.Second         // How long an ended flow is remembered, to reset late packets.
 	rotateInterval     = 20 * time.Second        // A hint that no packet uses is dropped after one to two intervals.
 	maxHints           = 200_000                 // Hints of one generation: at most 30 MB.
@@ -27,9 +28,11 @@
 	maxPendingFlows    = 4096                    // Unknown flows' packets are dropped while so many flows are being opened or searched for.
 	firstRoundAgents   = 16                      // Agents queried in the first round; all agents of a small service.
 	maxWidenedFleet    = 256                     // Largest fleet, in agents, in which all may be queried about one flow: 4 KB of queries.
-	maxBlindTries      = 2                       // Tries of all balancers within tryWindow while an agent that gets none may hold the flow: it breaks when a third packet within 2 s reaches a wrong upstream and none reaches that agent.
-	tryWindow          = 2200 * time.Millisecond // Covers these 2 s and the way of an agent's answer.
+	maxBlindTries      = 2                       // Upstreams that all balancers may try while an agent that is not tried may hold the flow: it breaks when three packets reach wrong upstreams and none reaches that agent for 2 s.
+	sweepTime          = 1500 * time.Millisecond // Since the first try; after it the holder might not be reached within these 2 s.
+	tellSlack          = 100 * time.Millisecond  // By which the times that agents tell may be off: the way of their answers, and rounding.
 	startupTime        = 2 * time.Second         // For so long after its start, a balancer that found no older process does not limit tries, because flows are not yet established.
+	startupSpread      = 2 * time.Second         // By which processes that start after the loss of all may be older.
 	maxAttemptsPerCopy = 2                       // Agents asked to open a flow for each copy of the opening, once one did not answer.
 	maxColdRefusals    = 2                       // After so many refusals of one copy, upstreams that are cold and probably have no room are not asked.
 )
@@ -41,6 +44,7 @@
 	opening phase = iota + 1
 	open
 	searching
+	unfound // A search has given up.
 	ended
 )
 
@@ -73,6 +77,7 @@
 	attemptsOfCopy int // Attempts since the client's last copy of the opening.
 	coldRefusals   int // Refusals since then because an upstream is cold.
 	holders        []holder
+	heldAt         time.Time // When an agent last reported that it holds the flow.
 	heldPackets    [][]byte
 	search         search
 	deadline       time.Time // Of the opening attempt or search step under way.
@@ -203,7 +208,7 @@
 	}
 	ent := tbl.find(key)
 	if ent == nil {
-		tbl.handleUnknownFlow(key, pkt, raw, now)
+		tbl.handleUnknownFlow(key, &entry{}, pkt, raw, now)
 		return
 	}
 	if pkt.Has(flow.Ack) {
@@ -217,13 +222,15 @@
 	case searching:
 		ent.holdPacket(raw)
 		tbl.resetIfDenied(key, ent, now) // An unanswered agent may count as dead by now.
+	case unfound:
+		tbl.handleUnknownFlow(key, ent, pkt, raw, now)
 	case ended:
 		if now.Before(ent.endedUntil) {
 			tbl.sendReset(key, pkt, FlowGone)
 			return
 		}
 		tbl.remove(key)
-		tbl.handleUnknownFlow(key, pkt, raw, now)
+		tbl.handleUnknownFlow(key, &entry{}, pkt, raw, now)
 	}
 }
 
@@ -256,13 +263,13 @@
 	tbl.startSearch(key, ent, raw, NoHint, now)
 }
 
-// handleUnknownFlow handles a packet of a flow that is not remembered: it starts a
-// search for the agent that holds it.
-func (tbl *Table) handleUnknownFlow(key flow.Key, pkt flow.Packet, raw []byte, now time.Time) {
+// handleUnknownFlow handles a packet of a flow whose agent is not remembered: it starts
+// a search for the agent that holds it.
+func (tbl *Table) handleUnknownFlow(key flow.Key, ent *entry, pkt flow.Packet, raw []byte, now time.Time) {
 	if pkt.Has(flow.Rst) || len(tbl.pending) >= maxPendingFlows {
 		return
 	}
-	ent := &entry{clientAck: pkt.Ack()}
+	ent.clientAck = pkt.Ack()
 	tbl.put(key, ent)
 	tbl.startSearch(key, ent, raw, NoHint, now)
 }
--- a/core/track/table_test.go
+++ b/core/track/table_test.go
@@ -90,7 +90,7 @@
 // unsureAnswer is the answer of an agent that cannot tell whether its upstream holds
 // the test flow, and that has been running for long.
 func unsureAnswer() encap.Header {
-	return encap.New(encap.Unsure, feedID, flowKey(1)).WithSeq(encap.UnsureSeq(false, time.Minute))
+	return encap.New(encap.Unsure, feedID, flowKey(1)).WithSeq(encap.UnsureSeq(false, time.Minute, 0))
 }
 
 func sendActions(acts []Action) []Action {
--- a/core/track/try.go
+++ b/core/track/try.go
@@ -16,7 +16,7 @@
 // and reports true then too.
 func (tbl *Table) tryNext(key flow.Key, ent *entry, now time.Time) bool {
 	sch := &ent.search
-	if !tbl.servicesKnown(ent, now) && !tbl.startingUp(now) && tbl.widenSearch(key, ent, now) {
+	if !tbl.servicesKnown(ent, now) && !tbl.startingUp(sch, now) && tbl.widenSearch(key, ent, now) {
 		return true // Queries are harmless, but a packet at a wrong upstream may break the flow.
 	}
 	limit := tbl.maxTries(key, ent, now)
@@ -56,11 +56,10 @@
 // nextBlindTryAgent returns the agent that gets the next try while the holder may be
 // elsewhere. All balancers together stay within the limit: agents tell of the others'
 // tries, and while these are under way all balancers prefer the same agents. An agent
-// that has not answered, or that may have been tried lately, keeps its place in this
-// order.
+// that has not answered, or that may have been tried, keeps its place in this order.
 func (tbl *Table) nextBlindTryAgent(key flow.Key, ent *entry, limit int, now time.Time) *fleet.Agent {
 	sch := &ent.search
-	if sch.recentTrials(now) >= limit {
+	if sch.trials() >= limit {
 		return nil
 	}
 	agts := tbl.routeAgents(key, ent)
@@ -68,7 +67,7 @@
 	places := 0
 	for _, agt := range agts {
 		ip := agt.IP()
-		denied, tried := slices.Contains(sch.denied, ip), sch.triedLately(ip, now)
+		denied, tried := slices.Contains(sch.denied, ip), sch.hasTried(ip)
 		switch {
 		case places == limit:
 			return nil
@@ -84,48 +83,98 @@
 // trial is a packet of the flow that an agent passed to its upstream on trial, or may
 // have passed.
 type trial struct {
-	agent [4]byte
-	at    time.Time
+	agent     [4]byte
+	at        time.Time
+	restarted bool // Only the agent's predecessor may have tried the flow, until then.
+	heard     bool // The predecessor answered in this search.
+}
+
+// findTrial returns the record of an agent's trials or restarts, or nil.
+func (sch *search) findTrial(agent [4]byte, restarted bool) *trial {
+	num := slices.IndexFunc(sch.tried, func(trl trial) bool { return trl.agent == agent && trl.restarted == restarted })
+	if num < 0 {
+		return nil
+	}
+	return &sch.tried[num]
 }
 
 // noteTrial records a trial of the flow's packet. Only the last one of an agent counts.
-func (sch *search) noteTrial(ip [4]byte, at time.Time) {
-	known := slices.IndexFunc(sch.tried, func(trl trial) bool { return trl.agent == ip })
+func (sch *search) noteTrial(agent [4]byte, at time.Time) {
+	known := sch.findTrial(agent, false)
+	switch {
+	case known == nil:
+		sch.tried = append(sch.tried, trial{agent: agent, at: at})
+	case at.After(known.at):
+		known.at = at
+	}
+}
+
+// noteStart records when an agent started that cannot tell.
+func (sch *search) noteStart(agent [4]byte, at time.Time) {
+	known := sch.findTrial(agent, true)
 	switch {
-	case known < 0:
-		sch.tried = append(sch.tried, trial{agent: ip, at: at})
-	case at.After(sch.tried[known].at):
-		sch.tried[known].at = at
+	case known == nil:
+		sch.tried = append(sch.tried, trial{agent: agent, at: at, restarted: true})
+	case at.After(known.at.Add(tellSlack)):
+		known.at, known.heard = at, true
 	}
 }
 
-// noteDenial records the trial that a denial tells of. It may be that of another
-// balancer.
-func (sch *search) noteDenial(hdr encap.Header, from [4]byte, now time.Time) {
+// noteDenial records what a denial tells of the search so far. It may be that of other
+// balancers.
+func (sch *search) noteDenial(hdr encap.Header, from [4]byte, heldAt, now time.Time) {
+	sch.noteAsked(hdr, heldAt, now)
 	if age, ok := hdr.Tried(); ok {
 		sch.noteTrial(from, now.Add(-age))
+	} else if !hdr.UpstreamDown() {
+		sch.olderAgent = true // One that has just started cannot tell, unless its upstream does not run.
+	}
+}
+
+// noteAsked records since when an agent has been asked for the flow. When the flow was
+// last held, an earlier search was over.
+func (sch *search) noteAsked(hdr encap.Header, heldAt, now time.Time) {
+	at := now.Add(-hdr.Asked())
+	if at.Before(heldAt) {
+		at = heldAt
+	}
+	if at.Before(sch.unknownAt) {
+		sch.unknownAt = at
 	}
 }
 
-// recentTrials returns how many upstreams may have been tried lately.
-func (sch *search) recentTrials(now time.Time) int {
+// counts reports whether a trial is or may be one of the flow's packet since its holder
+// is unknown. A restarted agent's predecessor may have tried it for another balancer that
+// searched before, or after it answered here; one that was down when it was asked did not.
+func (sch *search) counts(trl trial) bool {
+	if !trl.restarted {
+		return trl.at.After(sch.unknownAt.Add(-tellSlack))
+	}
+	return trl.at.After(sch.unknownAt) && (trl.heard || sch.unknownAt.Before(sch.firstAt.Add(-tellSlack)))
+}
+
+// trials returns how many upstreams may have been tried since the holder is unknown.
+func (sch *search) trials() int {
 	count := 0
 	for _, trl := range sch.tried {
-		if trl.countsAt(now) {
+		if sch.counts(trl) {
 			count++
 		}
 	}
 	return count
 }
 
-// triedLately reports whether an agent's upstream may have been tried lately.
-func (sch *search) triedLately(ip [4]byte, now time.Time) bool {
-	return slices.ContainsFunc(sch.tried, func(trl trial) bool { return trl.agent == ip && trl.countsAt(now) })
+// hasTried reports whether an agent has tried the flow since the holder is unknown.
+func (sch *search) hasTried(ip [4]byte) bool {
+	trl := sch.findTrial(ip, false)
+	return trl != nil && sch.counts(*trl)
 }
 
-// countsAt reports whether a trial was so short a time ago that it counts with the next
-// ones.
-func (trl trial) countsAt(now time.Time) bool { return now.Before(trl.at.Add(tryWindow)) }
+// sweepEnded reports whether the first trial was so long ago that further ones might not
+// reach the holder in time.
+func (sch *search) sweepEnded(now time.Time) bool {
+	return slices.ContainsFunc(sch.tried, func(trl trial) bool { return sch.counts(trl) && !now.Before(trl.at.Add(sweepTime)) })
+}
 
 // requeueLostTry schedules one more try at an agent that did not answer, because
 // the try or its answer may have been lost. Agents without a try come first.
@@ -138,28 +187,40 @@
 	sch.unsure = append(sch.unsure, ip)
 }
 
-// maxTries returns how many tries all balancers may send within tryWindow. They are
-// unlimited if the holder, if there is one, must be among the agents that can be sent
-// the packet. If another agent may hold the flow, too many tries would break it.
+// maxTries returns how many upstreams all balancers may try. They are unlimited if the
+// holder, if there is one, must be among the agents that can be sent the packet, and will
+// have been reached in time. Otherwise too many tries would break the flow.
 func (tbl *Table) maxTries(key flow.Key, ent *entry, now time.Time) int {
+	sch := &ent.search
 	switch {
 	case !tbl.allAnswered(key, ent, now):
 		return maxBlindTries
-	case tbl.servicesKnown(ent, now), tbl.startingUp(now):
-		return math.MaxInt
-	case !ent.search.allServices || tbl.unsureOutsideRoute(key, ent):
+	case !tbl.servicesKnown(ent, now) && !tbl.startingUp(sch, now) && (!sch.allServices || tbl.unsureOutsideRoute(key, ent)):
+		return maxBlindTries
+	case sch.sweepEnded(now) && !tbl.oneLeft(key, ent):
 		return maxBlindTries
 	default:
 		return math.MaxInt
 	}
 }
 
-// startingUp reports whether the process has just started and its history of routes
-// begins within the last startupTime: a process that runs for longer would have sent
-// it an older history.
-// As a rule all processes have just started then.
-func (tbl *Table) startingUp(now time.Time) bool {
-	return now.Before(tbl.startupUntil) && tbl.tracker.Since().After(now.Add(-startupTime))
+// oneLeft reports whether all agents but one have denied holding the flow.
+func (tbl *Table) oneLeft(key flow.Key, ent *entry) bool {
+	left := 0
+	for _, agt := range tbl.candidates(key, ent) {
+		if !slices.Contains(ent.search.denied, agt.IP()) {
+			left++
+		}
+	}
+	return left == 1
+}
+
+// startingUp reports whether all processes have just started after the loss of all: the
+// process's history of routes begins within the last startupTime, and no agent is older.
+// One that runs for longer would have sent an older history, unless it has a gap or its
+// answer is late.
+func (tbl *Table) startingUp(sch *search, now time.Time) bool {
+	return now.Before(tbl.startupUntil) && tbl.tracker.Since().After(now.Add(-startupTime)) && !sch.olderAgent
 }
 
 // unsureOutsideRoute reports whether an agent that cannot tell belongs to a service
--- a/io/carry/base.go
+++ b/io/carry/base.go
@@ -84,6 +84,7 @@
 	})
 	bas.replica = gossip.New(bas.store, platform.HistoryLost, self.Addr().As4(), balancer, set.FirstStart(), bas.seeds(set), set.MaxStateAge(), log)
 	bas.replica.SetClassify(platform.SubjectOf)
+	bas.replica.SetStateKey(platform.IsState)
 	logUnusable(set, log)
 	return bas, nil
 }
--- a/io/carry/state.go
+++ b/io/carry/state.go
@@ -35,14 +35,15 @@
 }
 
 // adoptStates puts desired states in force and updates the history of former routes
-// according to the origin: a full read leaves a gap in it, a peer supplies its own
-// history.
+// according to the origin: a full read leaves a gap in it if the desired state has
+// changed, a peer supplies its own history.
 func (bas *base) adoptStates(trk *intent.Tracker, states []*intent.State, org gossip.Origin, now time.Time) {
 	switch src := org.(type) {
 	case gossip.Read:
-		if trk.State() != nil {
+		if trk.State() != nil && !src.StateUnchanged() {
 			trk.NoteGap(now)
 		}
+		bas.log.Info("read in full", zap.Bool("stateUnchanged", src.StateUnchanged()), zap.Bool("historyComplete", trk.Complete(now)))
 	case gossip.Told:
 		trk.MergeHistory(src.History(), src.Covered())
 	case gossip.Watched, gossip.Settled:
--- a/io/gossip/news.go
+++ b/io/gossip/news.go
@@ -30,9 +30,13 @@
 // every change after the replica's position.
 type Watched struct{}
 
-// Read is the origin of a full state from the platform, which lacks the states
+// Read is the origin of a full state from the platform, which lacks the desired states
 // between it and the replica's previous one.
-type Read struct{}
+type Read struct{ stateUnchanged bool }
+
+// StateUnchanged reports whether the desired state is that of before, at the same
+// position, so that there was none between.
+func (rd Read) StateUnchanged() bool { return rd.stateUnchanged }
 
 // Told is the origin of changes from a peer.
 type Told struct {
--- a/io/gossip/replica_test.go
+++ b/io/gossip/replica_test.go
@@ -62,6 +62,8 @@
 	mu      sync.Mutex
 	keys    []string
 	history intent.History
+	covered time.Time // Of what a peer told last.
+	read    Read      // The last full read.
 }
 
 func (rec *recorder) record(nws News, _ time.Time) {
@@ -70,8 +72,11 @@
 	for _, itm := range nws.Items() {
 		rec.keys = append(rec.keys, itm.Key())
 	}
-	if tld, ok := nws.Origin().(Told); ok {
-		rec.history = tld.History()
+	switch org := nws.Origin().(type) {
+	case Told:
+		rec.history, rec.covered = org.History(), org.Covered()
+	case Read:
+		rec.read = org
 	}
 }
 
@@ -163,6 +168,57 @@
 	}
 }
 
+// Guards against a history of routes that counts as incomplete although no state can have
+// been missed.
+func TestHistoryHasAGapOnlyIfTheStateChanged(t *testing.T) {
+	now := time.Now()
+	state := func(position mirror.Position) mirror.Item {
+		return mirror.NewItem("state", []byte{byte(position)}, position)
+	}
+	other := mirror.NewItem("other", nil, 9)
+	returned, err := mirror.At(1, 5)
+	assert.NilError(t, err)
+	for name, tc := range map[string]struct {
+		position mirror.Position // Of the second answer; that of the first is 5.
+		items    []mirror.Item
+		gap      bool
+	}{
+		"the same state":            {9, []mirror.Item{state(4), other}, false},
+		"another state":             {9, []mirror.Item{state(8), other}, true},
+		"no state":                  {9, []mirror.Item{other}, true},
+		"the same after the return": {returned, []mirror.Item{state(4)}, true},
+	} {
+		first := update{position: 5, full: true, items: []mirror.Item{state(4)}}
+		newRep := func() (*Replica, *recorder) {
+			rep, rec := newReplica(&fakeStore{})
+			rep.SetStateKey(func(key string) bool { return key == "state" })
+			assert.NilError(t, rep.adoptFromPlatform(first, now))
+			rep.noteCall(nil)
+			return rep, rec
+		}
+		t.Run(name+", read", func(t *testing.T) {
+			rep, rec := newRep()
+			assert.NilError(t, rep.adoptFromPlatform(update{position: tc.position, full: true, items: tc.items}, now.Add(time.Second)))
+			assert.Equal(t, rec.read.StateUnchanged(), !tc.gap)
+			assert.Equal(t, rep.seenSince() == tc.position, tc.gap)
+		})
+		t.Run(name+", told by a process that has just started", func(t *testing.T) {
+			rep, rec := newRep()
+			began := now.Add(2 * time.Second)
+			rep.adoptFromPeer(update{position: tc.position, full: true, items: tc.items, history: intent.NewHistory(began, nil)}, began)
+			assert.Equal(t, rec.covered.Before(began), tc.gap)
+			assert.Equal(t, rep.seenSince() == tc.position, tc.gap)
+		})
+	}
+	t.Run("peers are asked for what was missed", func(t *testing.T) {
+		rep, _ := newReplica(&fakeStore{})
+		assert.NilError(t, rep.adoptFromPlatform(update{position: 5, full: true, items: []mirror.Item{state(4)}}, now))
+		rep.historyRequests = maxHistoryRequests
+		assert.NilError(t, rep.adoptFromPlatform(update{position: 9, full: true, items: []mirror.Item{state(8)}}, now))
+		assert.Equal(t, rep.historyRequests, 0)
+	})
+}
+
 // busy reports whether the replica is fetching from a peer.
 func (rep *Replica) busy() bool {
 	rep.mu.Lock()
