--- a/core/track/search.go
+++ b/core/track/search.go
@@ -209,12 +209,13 @@
 	})
 }
 
-// allAnswered reports whether every candidate that is not dead has answered.
+// allAnswered reports whether every candidate that is not dead has answered. One that was
+// tried has answered the query before.
 func (tbl *Table) allAnswered(key flow.Key, ent *entry, now time.Time) bool {
 	sch := &ent.search
 	for _, agt := range tbl.candidates(key, ent) {
 		ip := agt.IP()
-		if !slices.Contains(sch.denied, ip) && !slices.Contains(sch.unsure, ip) && !agt.Dead(now) {
+		if !slices.Contains(sch.denied, ip) && !slices.Contains(sch.unsure, ip) && !sch.hasTried(ip) && !agt.Dead(now) {
 			return false
 		}
 	}
--- a/core/track/try_test.go
+++ b/core/track/try_test.go
@@ -266,3 +266,37 @@
 		})
 	}
 }
+
+// Guards against a flow whose holder is not tried again after others were, because the
+// answers of another agent are lost too.
+func TestSweepGoesOnAfterLostAnswers(t *testing.T) {
+	later := start.Add(2 * startupTime)
+	fix := afterLoss()
+	fix.tracker.MergeHistory(intent.NewHistory(time.Time{}, nil), later)
+	fix.tracker.Confirm(later.Add(time.Hour))
+	var order [][4]byte // Agents in the order of their first try.
+	tries := make(map[[4]byte]int)
+	answer := func(acts []Action, now time.Time) {
+		for queue := sendActions(acts); len(queue) > 0; queue = queue[1:] {
+			ip, hdr := queue[0].Agent(), unsureAnswer()
+			if queue[0].Header().Kind() == encap.Try {
+				if tries[ip]++; tries[ip] == 1 {
+					order = append(order, ip)
+				}
+				if ip == order[0] || len(order) > 1 && ip == order[1] && tries[ip] == 1 {
+					continue
+				}
+				hdr = encap.New(encap.Absent, encap.ServiceID("upload"), flowKey(1)).WithSeq(encap.TriedSeq(0, 0))
+			}
+			queue = append(queue, sendActions(fix.receive(hdr, ip, now))...)
+		}
+	}
+	answer(fix.sendData(1, later), later)
+	for now := later; now.Before(later.Add(sweepTime)); now = now.Add(10 * time.Millisecond) {
+		fix.Tick(now)
+		fix.SendQueries(now)
+		answer(fix.TakeActions(), now)
+	}
+	assert.Equal(t, len(order), presentAgents)
+	assert.Equal(t, tries[order[1]], 2)
+}
