Keep the flow of a request that waits at the agent

Cause: what a client repeats while its request is held did not count as activity of the flow, so the record expired as idle and took the request with it; the agent then denied the flow.

Evidence: the new test shows the record gone while its client repeats the request every 1.6 s. A request that expires in the queue is delivered, so the queue is not what loses it.

Change: every packet of a held request counts. A held request is delivered 0.5 s before the upstream may take the flow for idle, as that gets nothing while the agent holds it.

Test: TestHeldRequestOutlivesTheIdleTimeout, both parts failed before.

--- a/core/flows/admission.go
+++ b/core/flows/admission.go
@@ -18,6 +18,7 @@
 	reserveFactor  = 3                      // Capacity is reserved for this many times the average time from an opening to its request.
 	overdueFactor  = 3                      // A request that waits for this many times the average answer time no longer counts against the limit.
 	unansweredTime = 500 * time.Millisecond // An overdue request without an answer for this long is evidence against the upstream: nearly all objectives are missed.
+	idleMargin     = 500 * time.Millisecond // An upstream gets a request so long before it may discard the flow as idle.
 	averageGain    = 0.1                    // Weight of a new value in the moving averages of times.
 )
 
@@ -133,6 +134,7 @@
 	adm := &tbl.admission
 	if rec.held {
 		if pkt.DataBytes() > 0 || pkt.Has(flow.Fin) {
+			tbl.noteActivity(rec, now)
 			adm.queue.AddPacket(key, queue.NewPacket(pkt, bytes.Clone(raw)))
 			return true
 		}
@@ -149,8 +151,8 @@
 		sentAt = rec.sentAt
 	}
 	rec.held = true
+	req := queue.New(key, first, tbl.urgencyOf(key, rec), sentAt).DeliverBy(rec.activeAt.Add(tbl.idleTimeout - idleMargin))
 	tbl.noteActivity(rec, now)
-	req := queue.New(key, first, tbl.urgencyOf(key, rec), sentAt)
 	prs := tbl.prospect(req, now)
 	adm.queue.Add(req, queue.NewPacket(pkt, bytes.Clone(raw)))
 	tbl.actions = append(tbl.actions, Action{kind: NoteQueued, key: key, deadline: req.ObjectiveDeadline(), prospect: prs})
--- a/core/flows/admission_test.go
+++ b/core/flows/admission_test.go
@@ -140,6 +140,49 @@
 	acts[0].Header().EachVerdict(acts[0].Packet(), func(hdr encap.Header) { assert.Equal(t, hdr.Kind(), encap.Held) })
 }
 
+// Guards against a flow that is removed with the request that waits for it, because what
+// its client repeats meanwhile did not count as its activity.
+func TestHeldRequestOutlivesTheIdleTimeout(t *testing.T) {
+	const timeout = 3 * time.Second
+	newHeld := func(t *testing.T) *Table {
+		tbl := newFullTable(t)
+		setIdleTimeout(tbl, 1, timeout)
+		hdr := encap.New(encap.Open, service, keyFor(9)).WithUrgency(flow.NewUrgency(1, 250*time.Millisecond, 8*time.Second)).WithQueueIfFull()
+		tbl.HandleBalancerPacket(hdr, flow.NewPacket(keyFor(9).Client(), address, flow.Syn, 100, 0, 0), nil, balancer, start)
+		tbl.HandleUpstreamPacket(flow.NewPacket(address, keyFor(9).Client(), flow.Syn|flow.Ack, 5000, 101, 0), nil, start)
+		sendRequest(tbl, 9, 5001, start)
+		assert.Equal(t, tbl.Queued(), 1)
+		return tbl
+	}
+	repeatRequests := func(tbl *Table, now time.Time) {
+		for _, port := range []uint16{0, 1, 9} {
+			sendRequest(tbl, port, 5001, now)
+		}
+	}
+	t.Run("its flow stays", func(t *testing.T) {
+		tbl := newHeld(t)
+		for wait := time.Duration(0); wait < 2*timeout; wait += 1600 * time.Millisecond {
+			repeatRequests(tbl, start.Add(wait))
+			tbl.Tick(start.Add(wait + time.Second))
+		}
+		assert.Assert(t, tbl.records[keyFor(9)] != nil)
+		list := encap.AppendQuery(nil, keyFor(9), 5001)
+		tbl.TakeActions()
+		tbl.HandleQuery(list, balancer, start.Add(2*timeout))
+		acts := tbl.TakeActions()
+		acts[0].Header().EachVerdict(acts[0].Packet(), func(hdr encap.Header) { assert.Equal(t, hdr.Kind(), encap.Held) })
+	})
+	t.Run("its upstream gets it before the flow has been idle there for as long", func(t *testing.T) {
+		tbl := newHeld(t)
+		repeatRequests(tbl, start.Add(timeout/2))
+		tbl.TakeActions()
+		tbl.Tick(start.Add(timeout - idleMargin - time.Millisecond))
+		assertActionCount(t, tbl.TakeActions(), ToUpstream, 0)
+		tbl.Tick(start.Add(timeout - idleMargin))
+		assertActionCount(t, tbl.TakeActions(), ToUpstream, 1)
+	})
+}
+
 // Flows from before a restart of the agent have no opening; the route of their
 // address tells how urgent their requests are.
 func TestUrgencyOfFlowsFromBeforeARestart(t *testing.T) {
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -62,11 +62,11 @@
 	return true
 }
 
-// TakeExpired removes and returns a request that has waited until its timeout, if
-// there is one.
+// TakeExpired removes and returns a request that has waited until its timeout, or for as
+// long as its flow may be idle, if there is one.
 func (que *Queue) TakeExpired(now time.Time) (Request, bool) {
 	for i, req := range que.waiting {
-		if !now.Before(req.givenUpAt.Add(closeDelay)) {
+		if !now.Before(req.waitsUntil()) {
 			return que.removeAt(i), true
 		}
 	}
--- a/core/queue/request.go
+++ b/core/queue/request.go
@@ -41,6 +41,7 @@
 	priority          uint8
 	objectiveDeadline time.Time // An answer after this time misses the latency objective.
 	givenUpAt         time.Time // When the client no longer waits for the answer.
+	deliverBy         time.Time // When the upstream may discard the idle flow; zero if it does not matter.
 }
 
 // New returns a request whose client has waited for its answer since sentAt. For the
@@ -57,6 +58,22 @@
 	return req
 }
 
+// DeliverBy returns the request with a time by which it is delivered, because its upstream
+// may discard the flow that is idle while the request waits.
+func (req Request) DeliverBy(at time.Time) Request {
+	req.deliverBy = at
+	return req
+}
+
+// waitsUntil returns when the request is taken from the queue whatever its rank.
+func (req Request) waitsUntil() time.Time {
+	until := req.givenUpAt.Add(closeDelay)
+	if !req.deliverBy.IsZero() && req.deliverBy.Before(until) {
+		return req.deliverBy
+	}
+	return until
+}
+
 // Key returns the flow.
 func (req Request) Key() flow.Key { return req.key }
 
