--- a/io/gossip/replica.go
+++ b/io/gossip/replica.go
@@ -112,15 +112,6 @@
 	rep.policy.SetSeeds(ipsOf(seeds))
 }
 
-// SetStateKey sets how the key of the desired state is told. It must be called before
-// Serve; without it every key counts as one.
-func (rep *Replica) SetStateKey(isState func(key string) bool) { rep.stateKey = isState }
-
-// isState reports whether an item is the desired state.
-func (rep *Replica) isState(itm mirror.Item) bool {
-	return rep.stateKey == nil || rep.stateKey(itm.Key())
-}
-
 // SetMaxAge changes within which time a change at the platform has to take effect.
 func (rep *Replica) SetMaxAge(maxAge time.Duration) {
 	rep.mu.Lock()
@@ -263,36 +254,6 @@
 	return rep.firstPosition
 }
 
-// continues reports whether an update continues the states that the replica has seen
-// before.
-func continues(org Origin) bool {
-	switch src := org.(type) {
-	case Read:
-		return src.stateUnchanged
-	case Told:
-		return !src.history.Since().After(src.completeUntil)
-	default:
-		return true
-	}
-}
-
-// withState returns the origin with what it tells of the states before the update. If
-// the desired state is still that of before, at the same position, the replica has missed
-// none until now.
-func withState(org Origin, unchanged bool, now time.Time) Origin {
-	switch src := org.(type) {
-	case Read:
-		return Read{stateUnchanged: unchanged}
-	case Told:
-		if unchanged {
-			src.completeUntil = now
-		}
-		return src
-	default:
-		return org
-	}
-}
-
 // adopt applies an update to the mirror and passes the new items to apply. applyMu
 // is held.
 func (rep *Replica) adopt(upd update, org Origin, now time.Time) {
