Count a predecessor's tries since the search began, and tell old agents

A try that a predecessor may have made counts from when the search began now. Guarded by a part of TestTriesAreLimitedWhileTheHolderIsUnknown, which failed before.

A denial by an agent without a try counted as a sign that not all processes had just started. After a power loss upstreams start with their agents, which deny at once, so flows waited for more answers. Old agents say so themselves now, in a bit of the denial.

--- a/core/encap/header_test.go
+++ b/core/encap/header_test.go
@@ -1,6 +1,7 @@
 package encap
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -51,10 +52,10 @@
 	}{
 		"unsure":                  {Unsure, UnsureSeq(true, 9*time.Second, 70*time.Millisecond), 70 * time.Millisecond, 9 * time.Second, 0, false},
 		"unsure for long":         {Unsure, UnsureSeq(false, day, day), 32767 * time.Millisecond, 65535 * time.Millisecond, 0, false},
-		"absent":                  {Absent, AbsentSeq(4 * time.Second), 4 * time.Second, 0, 0, false},
-		"absent, tried just now":  {Absent, TriedSeq(0, time.Second), time.Second, 0, 0, true},
-		"absent, tried long ago":  {Absent, TriedSeq(day, day), 32767 * time.Millisecond, 0, 65534 * time.Millisecond, true},
-		"absent, of a wrong time": {Absent, TriedSeq(-time.Second, -time.Second), 0, 0, 0, true},
+		"absent":                  {Absent, AbsentSeq(OldAfter, 4*time.Second), 4 * time.Second, 0, 0, false},
+		"absent, tried just now":  {Absent, TriedSeq(0, 0, time.Second), time.Second, 0, 0, true},
+		"absent, tried long ago":  {Absent, TriedSeq(day, day, day), 32767 * time.Millisecond, 0, 65534 * time.Millisecond, true},
+		"absent, of a wrong time": {Absent, TriedSeq(-time.Second, -time.Second, -time.Second), 0, 0, 0, true},
 		"neither":                 {Held, 1 << 31, 0, 0, 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -63,6 +64,7 @@
 			assert.Equal(t, hdr.Asked(), tc.asked)
 			assert.Equal(t, wasTried, tc.wasTried)
 			assert.Equal(t, tried, tc.tried)
+			assert.Equal(t, hdr.Old(), strings.HasSuffix(name, "long") || strings.HasSuffix(name, "long ago") || name == "unsure")
 			if tc.kind == Unsure {
 				assert.Equal(t, hdr.Uptime(), tc.uptime)
 				assert.Equal(t, hdr.ServesAddress(), name == "unsure")
--- a/core/encap/list.go
+++ b/core/encap/list.go
@@ -15,6 +15,10 @@
 	MaxQueries   = 64 // The verdicts on so many take 1,100 bytes with the header, which no link fragments.
 )
 
+// OldAfter is how long an agent has been running when it counts as old: it did not start
+// together with a process that has just started, as after the loss of all processes.
+const OldAfter = 4 * time.Second
+
 // The fields of the sequence number of an Unsure or Absent verdict hold times in
 // milliseconds. Longer ones are told as the largest value.
 const (
@@ -23,6 +27,7 @@
 	maxUptime  = 1<<uptimeBits - 1
 	maxTried   = 1<<triedBits - 2 // One more stands for it, as 0 means that no packet was tried.
 	maxAsked   = 1<<15 - 1
+	oldFlag    = 1 << 31 // Of an Absent verdict; an Unsure one tells the uptime.
 )
 
 func limitMillis(span time.Duration, limit int64) uint32 {
@@ -50,14 +55,25 @@
 	return time.Duration(hdr.seq>>1&maxUptime) * time.Millisecond
 }
 
+// Old reports whether the agent of an Unsure or Absent verdict is old; see OldAfter.
+func (hdr Header) Old() bool {
+	return hdr.kind == Unsure && hdr.Uptime() > OldAfter || hdr.kind == Absent && hdr.seq&oldFlag != 0
+}
+
 // AbsentSeq returns the sequence number of an Absent verdict. It tells how long ago a
-// balancer first asked for the flow; see Asked.
-func AbsentSeq(asked time.Duration) uint32 { return limitMillis(asked, maxAsked) << triedBits }
+// balancer first asked for the flow, see Asked, and whether the agent is old.
+func AbsentSeq(uptime, asked time.Duration) uint32 {
+	seq := limitMillis(asked, maxAsked) << triedBits
+	if uptime > OldAfter {
+		seq |= oldFlag
+	}
+	return seq
+}
 
 // TriedSeq returns the sequence number of an Absent verdict whose agent, besides, passed
 // a packet of the flow to its upstream so long ago, and got it back.
-func TriedSeq(tried, asked time.Duration) uint32 {
-	return AbsentSeq(asked) | (limitMillis(tried, maxTried) + 1)
+func TriedSeq(tried, uptime, asked time.Duration) uint32 {
+	return AbsentSeq(uptime, asked) | (limitMillis(tried, maxTried) + 1)
 }
 
 // Tried returns how long ago the agent of an Absent verdict passed a packet of the
@@ -77,7 +93,7 @@
 	case Unsure:
 		return time.Duration(hdr.seq>>(1+uptimeBits)) * time.Millisecond
 	case Absent:
-		return time.Duration(hdr.seq>>triedBits) * time.Millisecond
+		return time.Duration(hdr.seq&^oldFlag>>triedBits) * time.Millisecond
 	default:
 		return 0
 	}
@@ -116,9 +132,7 @@
 	for ; len(list) >= verdictBytes; list = list[verdictBytes:] {
 		knd := Kind(list[flow.KeyBytes])
 		if knd == Held || knd == Absent || knd == Unsure {
-			one := New(knd, hdr.service, flow.ParseKey(list)).WithRevision(hdr.revision).WithSeq(binary.BigEndian.Uint32(list[flow.KeyBytes+1:]))
-			one.flags = hdr.flags & flagUpstreamDown
-			visit(one)
+			visit(New(knd, hdr.service, flow.ParseKey(list)).WithRevision(hdr.revision).WithSeq(binary.BigEndian.Uint32(list[flow.KeyBytes+1:])))
 		}
 	}
 }
--- a/core/flows/table.go
+++ b/core/flows/table.go
@@ -251,9 +251,9 @@
 func (tbl *Table) denialSeq(key flow.Key, now time.Time) uint32 {
 	asked := tbl.noteAsked(key, now)
 	if triedAt := tbl.denied[key].triedAt; !triedAt.IsZero() {
-		return encap.TriedSeq(now.Sub(triedAt), asked)
+		return encap.TriedSeq(now.Sub(triedAt), now.Sub(tbl.startedAt), asked)
 	}
-	return encap.AbsentSeq(asked)
+	return encap.AbsentSeq(now.Sub(tbl.startedAt), asked)
 }
 
 // noteAsked records that a balancer asks for a flow, and returns how long ago the first
--- a/core/track/search.go
+++ b/core/track/search.go
@@ -80,7 +80,7 @@
 	tryingAgent [4]byte   // The agent that has been sent the packet and has not answered; zero if none.
 	tryCount    int       // Tries sent in this search.
 	tried       []trial   // Tries of this balancer and of others, and those that a former agent may have got.
-	olderAgent  bool      // An agent is older than processes are that started after the loss of all.
+	oldAgent    bool      // An agent is too old to have started after the loss of all processes.
 	giveUpAt    time.Time
 }
 
@@ -180,7 +180,6 @@
 	sch.unsure = append(sch.unsure, from)
 	sch.noteAsked(hdr, ent.heldAt, now)
 	sch.noteStart(from, now.Add(-hdr.Uptime()))
-	sch.olderAgent = sch.olderAgent || hdr.Uptime() > startupTime+startupSpread
 	tbl.continueSearch(key, ent, now)
 }
 
--- a/core/track/table.go
+++ b/core/track/table.go
@@ -32,7 +32,6 @@
 	sweepTime          = 1500 * time.Millisecond // Since the first try; after it the holder might not be reached within these 2 s.
 	tellSlack          = 100 * time.Millisecond  // By which the times that agents tell may be off: the way of their answers, and rounding.
 	startupTime        = 2 * time.Second         // For so long after its start, a balancer that found no older process does not limit tries, because flows are not yet established.
-	startupSpread      = 2 * time.Second         // By which processes that start after the loss of all may be older.
 	maxAttemptsPerCopy = 2                       // Agents asked to open a flow for each copy of the opening, once one did not answer.
 	maxColdRefusals    = 2                       // After so many refusals of one copy, upstreams that are cold and probably have no room are not asked.
 )
--- a/core/track/try.go
+++ b/core/track/try.go
@@ -126,14 +126,13 @@
 	sch.noteAsked(hdr, heldAt, now)
 	if age, ok := hdr.Tried(); ok {
 		sch.noteTrial(from, now.Add(-age))
-	} else if !hdr.UpstreamDown() {
-		sch.olderAgent = true // One that has just started cannot tell, unless its upstream does not run.
 	}
 }
 
-// noteAsked records since when an agent has been asked for the flow. When the flow was
-// last held, an earlier search was over.
+// noteAsked records since when an agent has been asked for the flow, and whether the agent
+// is old. When the flow was last held, an earlier search was over.
 func (sch *search) noteAsked(hdr encap.Header, heldAt, now time.Time) {
+	sch.oldAgent = sch.oldAgent || hdr.Old()
 	at := now.Add(-hdr.Asked())
 	if at.Before(heldAt) {
 		at = heldAt
@@ -171,9 +170,16 @@
 }
 
 // sweepEnded reports whether the first trial was so long ago that further ones might not
-// reach the holder in time.
+// reach the holder in time. A predecessor may have tried the flow at any time since its
+// holder is unknown.
 func (sch *search) sweepEnded(now time.Time) bool {
-	return slices.ContainsFunc(sch.tried, func(trl trial) bool { return sch.counts(trl) && !now.Before(trl.at.Add(sweepTime)) })
+	return slices.ContainsFunc(sch.tried, func(trl trial) bool {
+		first := trl.at
+		if trl.restarted {
+			first = sch.unknownAt
+		}
+		return sch.counts(trl) && !now.Before(first.Add(sweepTime))
+	})
 }
 
 // requeueLostTry schedules one more try at an agent that did not answer, because
@@ -216,11 +222,11 @@
 }
 
 // startingUp reports whether all processes have just started after the loss of all: the
-// process's history of routes begins within the last startupTime, and no agent is older.
+// process's history of routes begins within the last startupTime, and no agent is old.
 // One that runs for longer would have sent an older history, unless it has a gap or its
 // answer is late.
 func (tbl *Table) startingUp(sch *search, now time.Time) bool {
-	return now.Before(tbl.startupUntil) && tbl.tracker.Since().After(now.Add(-startupTime)) && !sch.olderAgent
+	return now.Before(tbl.startupUntil) && tbl.tracker.Since().After(now.Add(-startupTime)) && !sch.oldAgent
 }
 
 // unsureOutsideRoute reports whether an agent that cannot tell belongs to a service
--- a/core/track/try_test.go
+++ b/core/track/try_test.go
@@ -52,7 +52,7 @@
 	if mem.triedAt.IsZero() {
 		return encap.Unsure, encap.UnsureSeq(false, now.Sub(mem.startedAt), now.Sub(mem.askedAt))
 	}
-	return encap.Absent, encap.TriedSeq(now.Sub(mem.triedAt), now.Sub(mem.askedAt))
+	return encap.Absent, encap.TriedSeq(now.Sub(mem.triedAt), now.Sub(mem.startedAt), now.Sub(mem.askedAt))
 }
 
 // trials plays agents that cannot tell whether their upstream holds the test flow, and
@@ -191,6 +191,21 @@
 		trs.wait(fix, later.Add(2*time.Second), later.Add(searchTimeout))
 		trs.assertWithinLimit(t)
 	})
+	t.Run("when the agents that were tried restart, and the services are known", func(t *testing.T) {
+		trs, fix := newTrials(), afterLoss()
+		trs.play(fix, later)
+		now := later.Add(searchTimeout + time.Second)
+		for ip, mem := range trs.memories {
+			if !mem.triedAt.IsZero() {
+				trs.memories[ip] = &agentMemory{startedAt: now.Add(-sweepTime / 3)}
+			}
+		}
+		other := afterLoss()
+		other.tracker.MergeHistory(intent.NewHistory(time.Time{}, nil), now)
+		other.tracker.Confirm(now.Add(time.Hour))
+		trs.play(other, now)
+		trs.assertWithinLimit(t)
+	})
 	t.Run("while the holder is silent, and after it", func(t *testing.T) {
 		trs, fix := newTrials(), afterLoss()
 		fix.tracker.MergeHistory(intent.NewHistory(time.Time{}, nil), later)
@@ -205,7 +220,7 @@
 		trs.play(fix, later)
 		fix.receive(encap.New(encap.Held, encap.ServiceID("upload"), flowKey(1)), vmIP(1), later.Add(3*time.Second))
 		lost := later.Add(4 * time.Second)
-		absent := encap.New(encap.Absent, encap.ServiceID("upload"), flowKey(1)).WithSeq(encap.AbsentSeq(0))
+		absent := encap.New(encap.Absent, encap.ServiceID("upload"), flowKey(1)).WithSeq(encap.AbsentSeq(0, 0))
 		fix.HandleAgentDatagram(absent, []byte("data"), vmIP(1), lost)
 		fix.SendQueries(lost)
 		trs.answer(fix, fix.TakeActions(), lost)
@@ -252,7 +267,7 @@
 		tries  int
 	}{
 		"agents that have just started": {startupTime, presentAgents},
-		"one that is older":             {startupTime + startupSpread + time.Millisecond, maxBlindTries},
+		"one that is old":               {encap.OldAfter + time.Millisecond, maxBlindTries},
 	} {
 		t.Run(name, func(t *testing.T) {
 			trs, fix := newTrials(), afterLoss()
@@ -265,6 +280,16 @@
 			assert.Equal(t, len(trs.times), tc.tries)
 		})
 	}
+	t.Run("one that is old and denies the flow", func(t *testing.T) {
+		trs, fix := newTrials(), afterLoss()
+		now := start.Add(startupTime / 2)
+		for num := range presentAgents {
+			trs.memory(vmIP(num + 1)).startedAt = now.Add(-startupTime)
+		}
+		*trs.memory(vmIP(1)) = agentMemory{startedAt: now.Add(-time.Hour), triedAt: now.Add(-time.Minute)}
+		trs.play(fix, now)
+		assert.Equal(t, len(trs.times), maxBlindTries)
+	})
 }
 
 // Guards against a flow whose holder is not tried again after others were, because the
@@ -286,7 +311,7 @@
 				if ip == order[0] || len(order) > 1 && ip == order[1] && tries[ip] == 1 {
 					continue
 				}
-				hdr = encap.New(encap.Absent, encap.ServiceID("upload"), flowKey(1)).WithSeq(encap.TriedSeq(0, 0))
+				hdr = encap.New(encap.Absent, encap.ServiceID("upload"), flowKey(1)).WithSeq(encap.TriedSeq(0, 0, 0))
 			}
 			queue = append(queue, sendActions(fix.receive(hdr, ip, now))...)
 		}
