--- a/core/model/packets_test.go
+++ b/core/model/packets_test.go
@@ -50,26 +50,49 @@
 func checkFullRestart(t *rapid.T, rules packetRules) {
 	sim := newSimulation(t, rules)
 	acts := sim.actions()
-	acts["everything killed"] = func(t *rapid.T) {
-		sim.t = t
-		for idx, vm := range sim.vms {
-			vm.faultAt = sim.now
-			sim.restartAgent(idx)
-		}
-		sim.isolated = true
-		for idx := range sim.balancers {
-			sim.startBalancer(idx)
-			sim.balancers[idx].faultAt = sim.now
-		}
-		sim.isolated = false
-		sim.sendAllRequests()
-		sim.advance(sim.drawSpan(t))
-	}
+	acts["everything killed"] = sim.killEverything
 	t.Repeat(acts)
 	sim.t = t
 	sim.assertSettled()
 }
 
+// killEverything kills all balancers and agents at the same time.
+func (sim *simulation) killEverything(t *rapid.T) {
+	sim.t = t
+	for idx, vm := range sim.vms {
+		vm.faultAt = sim.now
+		sim.restartAgent(idx)
+	}
+	sim.isolated = true
+	for idx := range sim.balancers {
+		sim.startBalancer(idx)
+		sim.balancers[idx].faultAt = sim.now
+	}
+	sim.isolated = false
+	sim.sendAllRequests()
+	sim.advance(sim.drawSpan(t))
+}
+
+// movedRouteProperty runs sequences in which routes move, everything is killed, and flows
+// go on after a pause: what a balancer has to know of former routes decides there.
+func movedRouteProperty(rules packetRules) func(*rapid.T) {
+	return func(t *rapid.T) {
+		sim := newSimulation(t, rules)
+		all := sim.actions()
+		acts := map[string]func(*rapid.T){"everything killed": sim.killEverything}
+		for _, name := range []string{"open", "ask", "route moved or dropped", "network"} {
+			acts[name] = all[name]
+		}
+		acts["pause"] = func(t *rapid.T) {
+			sim.t = t
+			sim.advance(undisturbedTime)
+		}
+		t.Repeat(acts)
+		sim.t = t
+		sim.assertSettled()
+	}
+}
+
 // actions returns the events that rapid picks from, by name.
 func (sim *simulation) actions() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
@@ -301,6 +324,10 @@
 	rapid.Check(t, fullRestartProperty(packetRules{}))
 }
 
+func TestPacketFlowsAfterFullRestartOfMovedRoutes(t *testing.T) {
+	rapid.Check(t, movedRouteProperty(packetRules{}))
+}
+
 func TestPacketOracleDetectsMutants(t *testing.T) {
 	for name, rules := range map[string]packetRules{
 		"reset without proof":                             {resetWithoutProof: true},
@@ -315,6 +342,6 @@
 		t.Run(name, func(t *testing.T) { assertCaught(t, packetProperty(rules)) })
 	}
 	t.Run("starting balancer assumes a full history", func(t *testing.T) {
-		assertCaught(t, fullRestartProperty(packetRules{assumeFullHistory: true}))
+		assertCaught(t, movedRouteProperty(packetRules{assumeFullHistory: true}))
 	})
 }
