--- a/review/standin-3/backend.go
+++ b/review/standin-3/backend.go
@@ -15,13 +15,6 @@
 // flowKey names a flow by its client's end and the route's end.
 type flowKey struct{ client, route netip.AddrPort }
 
-// run is one request that a backend began to work on.
-type run struct {
-	backend string
-	id      string
-	at      time.Time
-}
-
 // taken is an opening packet that a backend took.
 type taken struct {
 	flow flowKey
@@ -50,11 +43,10 @@
 	con      *net.UDPConn
 	lst      net.Listener
 	bornAt   time.Time
-	state    string
-	cut      bool // The backend has no path to the store.
+	coldTold time.Duration // What the entry says.
+	cut      bool          // The backend has no path to the store.
 	sequence int
 	flows    map[flowKey]*backendFlow
-	runs     []run
 	taken    []taken // New flows, by their opening packets.
 	returned []taken // Packets of flows that the backend does not hold.
 	stop     chan struct{}
@@ -80,7 +72,7 @@
 		return errors.Join(err, con.Close())
 	}
 	bck.mu.Lock()
-	bck.con, bck.lst, bck.bornAt, bck.state, bck.sequence = con, lst, time.Now(), "ready", 0
+	bck.con, bck.lst, bck.bornAt, bck.sequence = con, lst, time.Now(), 0
 	bck.flows = make(map[flowKey]*backendFlow)
 	bck.stop = make(chan struct{})
 	stop := bck.stop
@@ -146,6 +138,8 @@
 	}
 }
 
+// writeEntry reports to the store, which changes the entry when more than the sequence
+// has changed.
 func (bck *backend) writeEntry() {
 	bck.mu.Lock()
 	defer bck.mu.Unlock()
@@ -153,16 +147,20 @@
 		return
 	}
 	bck.sequence++
-	left := max(bck.cold-time.Since(bck.bornAt), 0)
-	rev := bck.wld.store.putJSON("servers/"+bck.id, map[string]any{
-		"service": bck.service, "address": bck.side.app.String(), "zone": zoneName, "version": "v1", "slots": 4,
-		"state": bck.state, "cold-remaining-ms": left.Milliseconds(), "sequence": bck.sequence, "born": bck.bornAt.UnixMilli(),
-	})
 	id, heardAt := bck.id, time.Now()
 	bck.heardAt[id] = heardAt
 	time.AfterFunc(3*heartbeat, func() { bck.removeSilent(id, heardAt) })
+	left := max(bck.cold-time.Since(bck.bornAt), 0)
+	if bck.sequence > 1 && left == bck.coldTold {
+		return
+	}
+	bck.coldTold = left
+	rev := bck.wld.store.putJSON("servers/"+id, map[string]any{
+		"service": bck.service, "address": bck.side.app.String(), "zone": zoneName, "version": "v1", "slots": 4,
+		"state": "ready", "cold-remaining-ms": left.Milliseconds(), "sequence": bck.sequence, "born": bck.bornAt.UnixMilli(),
+	})
 	if bck.sequence == 1 {
-		bck.wld.rec.note("backend %s registers, cold for %d ms more, revision %d", bck.id, left.Milliseconds(), rev)
+		bck.wld.rec.note("backend %s registers, cold for %d ms more, revision %d", id, left.Milliseconds(), rev)
 	}
 }
 
@@ -236,7 +234,6 @@
 	flw.clientAt += uint32(len(pkt.data))
 	flw.answer = nil
 	id := requestID(pkt.data)
-	bck.runs = append(bck.runs, run{bck.id, id, time.Now()})
 	bck.wld.rec.note("backend %s runs request %s of %s", bck.id, id, key.client)
 	time.AfterFunc(bck.work, func() {
 		bck.mu.Lock()
@@ -289,19 +286,6 @@
 	return flw != nil && flw.open
 }
 
-// ran returns the runs of a request.
-func (bck *backend) ran(id string) []run {
-	bck.mu.Lock()
-	defer bck.mu.Unlock()
-	var all []run
-	for _, one := range bck.runs {
-		if one.id == id {
-			all = append(all, one)
-		}
-	}
-	return all
-}
-
 // openings returns the opening packets that the backend took.
 func (bck *backend) openings() []taken {
 	bck.mu.Lock()
--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -18,6 +18,7 @@
 	openTimeout = 1400 * time.Millisecond
 	firstResend = 200 * time.Millisecond
 	lastResend  = 1600 * time.Millisecond
+	resetRange  = 76800 // How far the seq of a reset of an open flow may be from the client's last ack.
 )
 
 // clients is the machine of all clients.
@@ -112,7 +113,7 @@
 	rec := flw.cls.wld.rec
 	switch {
 	case pkt.has(flagRst):
-		valid := !flw.open || pkt.ack == flw.seq || flw.ack-pkt.seq <= 76800 || pkt.seq-flw.ack <= 76800
+		valid := pkt.sum == 0 && len(pkt.data) == 0 && (!flw.open || flw.ack-pkt.seq <= resetRange || pkt.seq-flw.ack <= resetRange)
 		rec.note("client of %s gets a reset, seq %d, sum %d, flow open: %v, valid: %v", flw.key.client, pkt.seq, pkt.sum, flw.open, valid)
 		if valid && flw.resetAt.IsZero() {
 			flw.resetAt, flw.resetOpen = time.Now(), flw.open
@@ -154,7 +155,7 @@
 		flw.mu.Lock()
 		flw.copies = append(flw.copies, time.Now())
 		flw.mu.Unlock()
-		if num > 0 || flw.cls.wld.verbose {
+		if num > 0 {
 			flw.cls.wld.rec.note("client of %s sends copy %d of its opening", flw.key.client, num)
 		}
 		flw.send(flw.packet(flagSyn, seq, uint32(num), nil))
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -54,7 +54,6 @@
 	store   *store
 	router  *router
 	clients *clients
-	verbose bool
 
 	mu    sync.Mutex
 	procs []*proc
@@ -194,13 +193,6 @@
 	return prc.done
 }
 
-// kill sends SIGKILL and waits for the end.
-func (mch *machine) kill() {
-	mch.wld.rec.note("%s %s gets SIGKILL", mch.role, mch.name)
-	_ = mch.proc.cmd.Process.Kill()
-	<-mch.proc.done
-}
-
 // close ends all processes.
 func (wld *world) close() {
 	wld.mu.Lock()
