--- a/review/standin-3/backend.go
+++ b/review/standin-3/backend.go
@@ -51,6 +51,7 @@
 	returned []taken // Packets of flows that the backend does not hold.
 	stop     chan struct{}
 
+	leased    bool                 // The store removes the entry only when the case says so.
 	heardAt   map[string]time.Time // When the store last heard a lifetime, by its ID.
 	removedAt time.Time            // When the store last removed an entry for its silence.
 }
@@ -149,7 +150,9 @@
 	bck.sequence++
 	id, heardAt := bck.id, time.Now()
 	bck.heardAt[id] = heardAt
-	time.AfterFunc(3*heartbeat, func() { bck.removeSilent(id, heardAt) })
+	if !bck.leased {
+		time.AfterFunc(3*heartbeat, func() { bck.removeSilent(id, heardAt) })
+	}
 	left := max(bck.cold-time.Since(bck.bornAt), 0)
 	if bck.sequence > 1 && left == bck.coldTold {
 		return
--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -11,6 +11,7 @@
 	"restartedAgent": {lavky, runRestartedAgent},
 	"formerEntry":    {grown, runFormerEntry},
 	"coldRestart":    {sondrio, runColdRestart},
+	"lostReaders":    {grown, runLostReaders},
 }
 
 // startTime is how long the system gets from the start of its processes to traffic.
@@ -161,6 +162,51 @@
 	return cut.checkLate(removedAt)
 }
 
+// runLostReaders cuts a backend from the store, and cuts the power of the two balancers
+// that read the store just before it removes the backend's entry.
+func runLostReaders(wld *world, trouble bool) error {
+	const (
+		confirmTime = 300 * time.Millisecond // From an answer of the store until all balancers know of it.
+		removeAfter = 50 * time.Millisecond  // From the loss of power to the removal of the entry.
+		darkTime    = 6 * time.Second        // Of the machines without power.
+	)
+	readers, others := []*machine{wld.newFront(1), wld.newFront(2)}, wld.lateFronts(2)
+	wld.seeds = readers
+	sides := []*side{wld.newSide(1, "desk"), wld.newSide(2, "desk")}
+	cut, other := newBackend(sides[0], "i-cut", 10*time.Millisecond), newBackend(sides[1], "i-other", 10*time.Millisecond)
+	cut.leased = true
+	wld.putState(7, []routeEntry{{wld.route(1), "desk"}}, []string{"desk"}, 0)
+	if err := wld.begin(append(readers, others...), sides, []*backend{cut, other}); err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go wld.trickle(stop, 10*time.Millisecond)
+	time.Sleep(2 * time.Second)
+	if !trouble {
+		time.Sleep(10 * time.Second)
+		return cut.checkLate(time.Now())
+	}
+	cut.cutFromStore()
+	time.Sleep(time.Until(cut.lastHeard().Add(3 * heartbeat)))
+	before := wld.store.watchAnswered()
+	if err := await("an answer to a watch", 3*time.Second, func() bool { return wld.store.watchAnswered() != before }); err != nil {
+		return err
+	}
+	time.Sleep(confirmTime)
+	if os.Getenv("KILL") != "0" { // KILL=0 leaves the second disruption out.
+		for _, mch := range readers {
+			mch.losePower(darkTime)
+		}
+	}
+	time.Sleep(removeAfter)
+	cut.removeSilent(cut.id, cut.lastHeard())
+	time.Sleep(8 * time.Second)
+	all := cut.openings()
+	wld.rec.note("the backend took its last opening %d ms after the removal", all[len(all)-1].at.Sub(cut.removed()).Milliseconds())
+	return cut.checkLate(cut.removed())
+}
+
 // checkLate checks that the backend took no opening later than drain-ms after its entry
 // was removed.
 func (bck *backend) checkLate(removedAt time.Time) error {
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -29,6 +29,22 @@
 	revision uint64
 	changed  chan struct{} // Closed at the next change.
 	server   *http.Server
+	watchAt  time.Time // When a watch was answered last.
+}
+
+// watchAnswered returns when the store last answered a watch.
+func (sto *store) watchAnswered() time.Time {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	return sto.watchAt
+}
+
+// answerWatch answers a watch.
+func (sto *store) answerWatch(rw http.ResponseWriter, events []item, atRev uint64) {
+	sto.mu.Lock()
+	sto.watchAt = time.Now()
+	sto.mu.Unlock()
+	answer(rw, map[string]any{"events": events, "at-rev": atRev})
 }
 
 func newStore(addr string) (*store, error) {
@@ -131,13 +147,13 @@
 		atRev, changed := sto.revision, sto.changed
 		sto.mu.Unlock()
 		if len(events) > 0 {
-			answer(rw, map[string]any{"events": events, "at-rev": atRev})
+			sto.answerWatch(rw, events, atRev)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			answer(rw, map[string]any{"events": events, "at-rev": atRev})
+			sto.answerWatch(rw, events, atRev)
 			return
 		case <-req.Context().Done():
 			return
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"math/bits"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -54,6 +56,7 @@
 	store   *store
 	router  *router
 	clients *clients
+	seeds   []*machine // The first front unless set.
 
 	mu    sync.Mutex
 	procs []*proc
@@ -133,7 +136,7 @@
 	at := func(port uint16) string { return netip.AddrPortFrom(mch.ip, port).String() }
 	var sb strings.Builder
 	fmt.Fprintf(&sb, "[process]\nname = %s\nzone = %s\nregion = praha\nfabric = packets\nfirstStart = %v\n\n", mch.name, zoneName, first)
-	fmt.Fprintf(&sb, "[peer]\naddress = %s\nseeds = %s\n\n", at(wld.prts.peer), wld.at("1.1", wld.prts.peer))
+	fmt.Fprintf(&sb, "[peer]\naddress = %s\nseeds = %s\n\n", at(wld.prts.peer), strings.Join(wld.seedAddrs(), ","))
 	fmt.Fprintf(&sb, "[platform]\naddress = %s\napplyMillis = %d\ndrainMillis = %d\n", wld.at("9.2", wld.prts.store), wld.trms.applyMillis, wld.trms.drainMillis)
 	if wld.trms.evacuateMillis > 0 {
 		fmt.Fprintf(&sb, "evacuateMillis = %d\ncoldOverage = %v\ncoldSlack = %v\n", wld.trms.evacuateMillis, wld.trms.coldOverage, wld.trms.coldSlack)
@@ -143,6 +146,58 @@
 	return sb.String()
 }
 
+// seedAddrs returns the addresses of the seeds.
+func (wld *world) seedAddrs() []string {
+	if len(wld.seeds) == 0 {
+		return []string{wld.at("1.1", wld.prts.peer).String()}
+	}
+	var addrs []string
+	for _, mch := range wld.seeds {
+		addrs = append(addrs, netip.AddrPortFrom(mch.ip, wld.prts.peer).String())
+	}
+	return addrs
+}
+
+// lateFronts returns balancers whose addresses put them last in the order in which
+// balancers take over from lost readers (rankOf in core/mirror). Any address may occur.
+func (wld *world) lateFronts(count int) []*machine {
+	const slots = 15
+	var all []*machine
+	for num := 10; num < 250 && len(all) < count; num++ {
+		if mch := wld.newFront(num); xxh64(mch.ip.As4())%slots >= slots-2 {
+			all = append(all, mch)
+		}
+	}
+	return all
+}
+
+// xxh64 returns the hash XXH64 of an IP address.
+func xxh64(ip [4]byte) uint64 {
+	const (
+		prime1 uint64 = 11400714785074694791
+		prime2 uint64 = 14029467366897019727
+		prime3 uint64 = 1609587929392839161
+		prime5 uint64 = 2870177450012600261
+	)
+	hsh := prime5 + 4 ^ uint64(binary.LittleEndian.Uint32(ip[:]))*prime1
+	hsh = bits.RotateLeft64(hsh, 23)*prime2 + prime3
+	hsh = (hsh ^ hsh>>33) * prime2
+	hsh = (hsh ^ hsh>>29) * prime3
+	return hsh ^ hsh>>32
+}
+
+// losePower kills the machine's process, and starts it again after some time.
+func (mch *machine) losePower(darkTime time.Duration) {
+	mch.wld.rec.note("%s loses power", mch.name)
+	prc := mch.proc
+	_ = prc.cmd.Process.Kill()
+	go func() {
+		<-prc.done
+		time.Sleep(darkTime)
+		_ = mch.start(false)
+	}()
+}
+
 // start starts the machine's process. Only the first start of all is a first start.
 func (mch *machine) start(first bool) error { return mch.startWith(first, "") }
 
